--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,113 @@
+// Package config reads what an ingress is told at its start: the variables and the file they name.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"passhub"
+	"passhub/internal/discovery"
+	"passhub/internal/settings"
+)
+
+// Config is the configuration of one ingress.
+type Config struct {
+	Name, Listen, Discovery string
+	Counter                 string // empty where there is none
+	Seed                    uint64
+	Limits                  Limits
+	Known                   *discovery.List // nil: none
+	Settings                passhub.Settings
+}
+
+// Limits are those of the ingress's machine. Zero means: not told.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+var api = jsoniter.ConfigCompatibleWithStandardLibrary
+
+// Load reads the file that NODE_CONFIG names. The other variables win over what the file says.
+func Load(getenv func(string) string) (*Config, error) {
+	path := getenv("NODE_CONFIG")
+	if path == "" {
+		return nil, errors.New("NODE_CONFIG is not set")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("NODE_CONFIG: %w", err)
+	}
+	c, err := parse(raw, getenv)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+func parse(raw []byte, getenv func(string) string) (*Config, error) {
+	var file struct {
+		Name      string              `json:"name"`
+		Listen    string              `json:"listen"`
+		Discovery string              `json:"discovery"`
+		Counter   string              `json:"counter"`
+		Seed      string              `json:"seed"`
+		Limits    Limits              `json:"limits"`
+		Known     *discovery.List     `json:"known"`
+		Settings  jsoniter.RawMessage `json:"settings"`
+	}
+	if err := api.Unmarshal(raw, &file); err != nil {
+		return nil, fmt.Errorf("not a configuration: %s", oneLine(err))
+	}
+	c := &Config{
+		Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Counter: file.Counter,
+		Limits: file.Limits, Known: file.Known,
+	}
+	for name, value := range map[string]*string{
+		"NODE_NAME": &c.Name, "NODE_LISTEN": &c.Listen, "NODE_DISCOVERY": &c.Discovery,
+	} {
+		if v := getenv(name); v != "" {
+			*value = v
+		}
+	}
+	for _, a := range []struct {
+		name, addr string
+		optional   bool
+	}{{"listen", c.Listen, false}, {"discovery", c.Discovery, false}, {"counter", c.Counter, true}} {
+		if a.addr == "" && a.optional {
+			continue
+		}
+		if _, _, err := net.SplitHostPort(a.addr); err != nil {
+			return nil, fmt.Errorf("%s: not host:port: %q", a.name, a.addr)
+		}
+	}
+	var err error
+	if file.Seed != "" {
+		if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
+			return nil, fmt.Errorf("seed: not a hexadecimal number: %q", file.Seed)
+		}
+	}
+	if l := c.Limits; l.Cores < 0 || l.MemoryMB < 0 || l.Sockets < 0 {
+		return nil, errors.New("limits: below zero")
+	}
+	if c.Settings, err = settings.Decode(file.Settings); err != nil {
+		return nil, errors.New(oneLine(err))
+	}
+	if len(c.Settings.Classes) == 0 || len(c.Settings.Plans) == 0 {
+		return nil, errors.New("settings: no classes or no plans")
+	}
+	if c.Settings.MayCount && c.Counter == "" {
+		return nil, errors.New("counter: the settings promise one, but there is no address")
+	}
+	return c, nil
+}
+
+// oneLine keeps a decoder's message, which may quote the file, to one line.
+func oneLine(err error) string { return strings.Join(strings.Fields(err.Error()), " ") }
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,211 @@
+// Package discovery follows the list of quote servers: the list whole, then a watch for its changes.
+package discovery
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
+	"github.com/sirupsen/logrus"
+
+	"passhub"
+	"passhub/internal/http1"
+)
+
+const (
+	connectFor = time.Second
+	silentFor  = 3 * time.Second // an empty line comes every 2 s: without one the watch is dead
+	againAfter = 200 * time.Millisecond
+	mostLine   = 4 << 20 // bytes of a whole list
+)
+
+var api = jsoniter.ConfigCompatibleWithStandardLibrary
+
+// List is a list of quote servers, or the changes to one, in discovery's form.
+type List struct {
+	Rev     int64    `json:"rev"`
+	All     bool     `json:"all"`
+	Targets []Target `json:"targets"`
+}
+
+// Target is one entry of a list.
+type Target struct {
+	UID      string  `json:"uid"`
+	Endpoint string  `json:"endpoint"`
+	Zone     string  `json:"az"`
+	Model    string  `json:"model"`
+	State    string  `json:"state"`
+	Capacity float64 `json:"capacity_hint"`
+	BootMs   float64 `json:"boot_ms"`
+}
+
+// Directory tells where the backends are, as the list last had it.
+type Directory struct {
+	mu      sync.RWMutex
+	entries map[string]entry
+}
+
+type entry struct {
+	addr    string
+	serving bool
+}
+
+// Lookup gives a backend's address, and whether it may be sent anything new.
+func (d *Directory) Lookup(id string) (addr string, serving bool) {
+	d.mu.RLock()
+	e := d.entries[id]
+	d.mu.RUnlock()
+	return e.addr, e.serving
+}
+
+// apply takes news and returns it in the module's form. The directory has it first: whoever is told
+// to send must find the address.
+func (d *Directory) apply(l *List) passhub.Backends {
+	news := passhub.Backends{Complete: l.All, List: make([]passhub.Backend, 0, len(l.Targets))}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.entries == nil || l.All {
+		d.entries = make(map[string]entry, len(l.Targets))
+	}
+	for _, t := range l.Targets {
+		serving := t.State == "active"
+		if t.State == "left" {
+			delete(d.entries, t.UID)
+		} else {
+			d.entries[t.UID] = entry{addr: t.Endpoint, serving: serving}
+		}
+		news.List = append(news.List, passhub.Backend{
+			ID: t.UID, Zone: t.Zone, Kind: t.Model, Serving: serving, Size: t.Capacity,
+			Booted: t.BootMs / 1000, // the module's clock is Unix time
+		})
+	}
+	return news
+}
+
+// Watcher keeps a directory, and whoever else wants the news, up to date.
+type Watcher struct {
+	Addr      string
+	Directory *Directory
+	Tell      func(passhub.Backends)
+	Log       *logrus.Logger
+
+	rev    int64
+	listed bool // by discovery itself, in this life
+}
+
+// Known takes the list that the ingress last had.
+func (w *Watcher) Known(l *List) {
+	w.rev = l.Rev
+	news := w.Directory.apply(l)
+	news.Complete = true
+	w.Tell(news)
+}
+
+// Run follows the list until the context ends. While discovery is silent the last list stays.
+func (w *Watcher) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := w.follow(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		w.Log.WithFields(logrus.Fields{"code": code(err), "rev": w.rev}).WithError(err).Info("discovery connection ended")
+		select {
+		case <-ctx.Done():
+		case <-time.After(againAfter):
+		}
+	}
+}
+
+var errStatus = errors.New("unexpected status")
+
+func code(err error) string {
+	var timeout net.Error
+	switch {
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return "discovery-silent"
+	case errors.Is(err, errStatus):
+		return "discovery-status"
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return "discovery-ended"
+	}
+	return "discovery-broken"
+}
+
+// follow uses one connection: the whole list once in a life, then the watch.
+func (w *Watcher) follow(ctx context.Context) error {
+	conn, err := (&net.Dialer{Timeout: connectFor}).DialContext(ctx, "tcp", w.Addr)
+	if err != nil {
+		return fmt.Errorf("connect: %w", err)
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	r := http1.NewReader(conn)
+	if !w.listed {
+		body, err := w.get(conn, r, "/v1/endpoints")
+		if err != nil {
+			return fmt.Errorf("list: %w", err)
+		}
+		raw, err := io.ReadAll(io.LimitReader(body, mostLine))
+		if err != nil {
+			return fmt.Errorf("list: %w", err)
+		}
+		if err := w.take(raw); err != nil {
+			return fmt.Errorf("list: %w", err)
+		}
+		w.listed = true
+	}
+	body, err := w.get(conn, r, "/v1/endpoints?watch=1&from="+strconv.FormatInt(w.rev, 10))
+	if err != nil {
+		return fmt.Errorf("watch: %w", err)
+	}
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 4096), mostLine)
+	for {
+		conn.SetReadDeadline(time.Now().Add(silentFor))
+		if !lines.Scan() {
+			if err := lines.Err(); err != nil {
+				return fmt.Errorf("watch: %w", err)
+			}
+			return fmt.Errorf("watch: %w", io.EOF)
+		}
+		if line := lines.Bytes(); len(line) > 0 {
+			if err := w.take(line); err != nil {
+				return fmt.Errorf("watch: %w", err)
+			}
+		}
+	}
+}
+
+func (w *Watcher) get(conn net.Conn, r *http1.Reader, target string) (io.Reader, error) {
+	b := append([]byte("GET "), target...)
+	b = append(b, " HTTP/1.1\r\nHost: discovery\r\n\r\n"...)
+	conn.SetDeadline(time.Now().Add(silentFor))
+	if _, err := conn.Write(b); err != nil {
+		return nil, err
+	}
+	a, err := r.Response()
+	if err != nil {
+		return nil, err
+	}
+	if a.Status != 200 {
+		return nil, fmt.Errorf("%w %d", errStatus, a.Status)
+	}
+	return r.Stream(a), nil
+}
+
+func (w *Watcher) take(raw []byte) error {
+	var l List
+	if err := api.Unmarshal(raw, &l); err != nil {
+		return fmt.Errorf("not a list: %w", err)
+	}
+	w.rev = l.Rev
+	w.Tell(w.Directory.apply(&l))
+	return nil
+}
--- /dev/null
+++ b/internal/http1/http1.go
@@ -0,0 +1,382 @@
+// Package http1 reads and writes HTTP/1.1 messages over plain connections, for the clients', the
+// quote servers' and discovery's side alike. It bounds what a peer can make it hold.
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/textproto"
+	"strconv"
+	"strings"
+)
+
+const (
+	// MaxHead bounds a start line with its headers: a peer could else send one without end.
+	MaxHead = 16 << 10
+	// MaxBody is the most that a message may carry.
+	MaxBody = 64 << 10
+
+	chunkOverhead = 64 << 10 // most that the framing of a whole chunked body may take
+)
+
+// What can be wrong with a message. Any of them leaves the connection without a known place to go on.
+var (
+	ErrStartLine    = errors.New("broken start line")
+	ErrHeader       = errors.New("broken header")
+	ErrHeadTooLarge = errors.New("start line and headers too large")
+	ErrFraming      = errors.New("broken length or transfer coding")
+	ErrBodyTooLarge = errors.New("body too large")
+)
+
+// Reader reads the messages of one connection.
+type Reader struct {
+	limit io.LimitedReader
+	buf   *bufio.Reader
+	text  textproto.Reader
+}
+
+// NewReader returns a reader of the messages that come from r.
+func NewReader(r io.Reader) *Reader {
+	m := &Reader{limit: io.LimitedReader{R: r, N: math.MaxInt64}}
+	m.buf = bufio.NewReader(&m.limit)
+	m.text.R = m.buf
+	return m
+}
+
+// Wait returns once a byte of the next message is there, or with the error that ended the connection.
+func (m *Reader) Wait() error {
+	m.limit.N = math.MaxInt64
+	_, err := m.buf.Peek(1)
+	return err
+}
+
+// Buffered tells how many bytes have been read from the connection ahead of the messages.
+func (m *Reader) Buffered() int { return m.buf.Buffered() }
+
+// Request is one request, its body included.
+type Request struct {
+	Method, Target string
+	Header         textproto.MIMEHeader
+	Body           []byte
+	Close          bool // the connection ends with the answer
+}
+
+// Request reads the next request.
+func (m *Reader) Request() (*Request, error) {
+	m.limit.N = MaxHead
+	line, err := m.startLine()
+	if err != nil {
+		return nil, err
+	}
+	method, rest, ok := strings.Cut(line, " ")
+	target, proto, ok2 := strings.Cut(rest, " ")
+	if !ok || !ok2 || !token(method) || !visible(target) || target[0] != '/' && target != "*" ||
+		proto != "HTTP/1.1" && proto != "HTTP/1.0" {
+		return nil, fmt.Errorf("%w: %.80q", ErrStartLine, line)
+	}
+	r := &Request{Method: method, Target: target}
+	if r.Header, err = m.header(); err != nil {
+		return nil, err
+	}
+	r.Close = closes(r.Header, proto)
+	f, err := framingOf(r.Header)
+	if err != nil {
+		return nil, err
+	}
+	if f.untilClose {
+		f = framing{} // a request without a length has no body
+	}
+	r.Body, err = m.body(f)
+	return r, err
+}
+
+// Response is the head of an answer.
+type Response struct {
+	Status int
+	Header textproto.MIMEHeader
+	Close  bool // the connection ends with this answer
+	framing
+}
+
+// Response reads the head of the next final answer to a request that was not a HEAD.
+func (m *Reader) Response() (*Response, error) {
+	for {
+		m.limit.N = MaxHead
+		line, err := m.startLine()
+		if err != nil {
+			return nil, err
+		}
+		proto, rest, _ := strings.Cut(line, " ")
+		code, _, _ := strings.Cut(rest, " ")
+		status, err := strconv.Atoi(code)
+		if err != nil || len(code) != 3 || status < 100 || proto != "HTTP/1.1" && proto != "HTTP/1.0" {
+			return nil, fmt.Errorf("%w: %.80q", ErrStartLine, line)
+		}
+		a := &Response{Status: status}
+		if a.Header, err = m.header(); err != nil {
+			return nil, err
+		}
+		if status < 200 {
+			continue // interim, 100 Continue and its like
+		}
+		a.Close = closes(a.Header, proto)
+		if status != 204 && status != 304 {
+			if a.framing, err = framingOf(a.Header); err != nil {
+				return nil, err
+			}
+			a.Close = a.Close || a.untilClose
+		}
+		return a, nil
+	}
+}
+
+// Body reads the whole body of an answer.
+func (m *Reader) Body(a *Response) ([]byte, error) { return m.body(a.framing) }
+
+// Stream returns a body to be read as it comes. Whoever reads it is to bound what is kept.
+func (m *Reader) Stream(a *Response) io.Reader {
+	m.limit.N = math.MaxInt64
+	switch {
+	case a.chunked:
+		return &chunks{m: m}
+	case a.untilClose:
+		return m.buf
+	}
+	return io.LimitReader(m.buf, a.length)
+}
+
+// startLine reads a start line. Empty lines before it are passed over, as RFC 9112 asks.
+func (m *Reader) startLine() (string, error) {
+	for range 3 {
+		line, err := m.text.ReadLine()
+		if err != nil {
+			return "", m.tooLarge(err)
+		}
+		if line != "" {
+			return line, nil
+		}
+	}
+	return "", fmt.Errorf("%w: empty", ErrStartLine)
+}
+
+func (m *Reader) header() (textproto.MIMEHeader, error) {
+	h, err := m.text.ReadMIMEHeader()
+	var broken textproto.ProtocolError
+	switch {
+	case errors.As(err, &broken):
+		return nil, fmt.Errorf("%w: %.80s", ErrHeader, broken)
+	case err != nil:
+		return nil, m.tooLarge(err)
+	}
+	return h, nil
+}
+
+// tooLarge tells an end that the limit made from one that the peer made.
+func (m *Reader) tooLarge(err error) error {
+	if m.limit.N <= 0 {
+		return ErrHeadTooLarge
+	}
+	return err
+}
+
+// framing tells how the end of a body is known.
+type framing struct {
+	length              int64
+	chunked, untilClose bool
+}
+
+// framingOf refuses whatever two readers could take for two different lengths.
+func framingOf(h textproto.MIMEHeader) (f framing, err error) {
+	lengths, codings := h["Content-Length"], h["Transfer-Encoding"]
+	switch {
+	case len(codings) > 0:
+		if len(lengths) > 0 || len(codings) > 1 || !strings.EqualFold(codings[0], "chunked") {
+			return f, fmt.Errorf("%w: transfer coding %.40q", ErrFraming, codings)
+		}
+		f.chunked = true
+	case len(lengths) == 0:
+		f.untilClose = true
+	default:
+		n, err := strconv.ParseUint(lengths[0], 10, 63)
+		if err != nil || len(lengths) > 1 {
+			return f, fmt.Errorf("%w: content length %.40q", ErrFraming, lengths)
+		}
+		if f.length = int64(n); f.length > MaxBody {
+			return f, ErrBodyTooLarge
+		}
+	}
+	return f, nil
+}
+
+func (m *Reader) body(f framing) ([]byte, error) {
+	switch {
+	case f.chunked:
+		m.limit.N = MaxBody + chunkOverhead
+		return m.bounded(&chunks{m: m})
+	case f.untilClose:
+		m.limit.N = math.MaxInt64
+		return m.bounded(m.buf)
+	case f.length == 0:
+		return nil, nil
+	}
+	m.limit.N = math.MaxInt64
+	body := make([]byte, f.length)
+	_, err := io.ReadFull(m.buf, body)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return body, err
+}
+
+func (m *Reader) bounded(r io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, MaxBody+1))
+	if len(body) > MaxBody || m.limit.N <= 0 {
+		return nil, ErrBodyTooLarge
+	}
+	return body, err
+}
+
+// chunks reads a chunked body up to and with its trailer.
+type chunks struct {
+	m     *Reader
+	left  uint64
+	begun bool
+	err   error
+}
+
+func (c *chunks) Read(p []byte) (int, error) {
+	if c.err == nil && c.left == 0 {
+		c.err = c.next()
+	}
+	if c.err != nil {
+		return 0, c.err
+	}
+	n, err := c.m.buf.Read(p[:min(uint64(len(p)), c.left)])
+	c.left -= uint64(n)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	c.err = err
+	return n, err
+}
+
+func (c *chunks) next() error {
+	if c.begun {
+		if line, err := c.line(); err != nil || len(line) > 0 {
+			return cmpErr(err, ErrFraming)
+		}
+	}
+	c.begun = true
+	line, err := c.line()
+	if err != nil {
+		return err
+	}
+	size, _, _ := bytes.Cut(line, []byte(";"))
+	if c.left, err = strconv.ParseUint(string(bytes.TrimSpace(size)), 16, 32); err != nil {
+		return fmt.Errorf("%w: chunk size %.20q", ErrFraming, size)
+	}
+	if c.left > 0 {
+		return nil
+	}
+	for { // the trailer says nothing that matters here
+		if line, err := c.line(); err != nil || len(line) == 0 {
+			return cmpErr(err, io.EOF)
+		}
+	}
+}
+
+// line reads a line of the framing. One longer than the buffer is no framing.
+func (c *chunks) line() ([]byte, error) {
+	line, err := c.m.buf.ReadSlice('\n')
+	switch {
+	case errors.Is(err, bufio.ErrBufferFull):
+		return nil, ErrFraming
+	case errors.Is(err, io.EOF):
+		return nil, io.ErrUnexpectedEOF
+	case err != nil:
+		return nil, err
+	}
+	return bytes.TrimRight(line, "\r\n"), nil
+}
+
+func cmpErr(err, otherwise error) error {
+	if err != nil {
+		return err
+	}
+	return otherwise
+}
+
+func closes(h textproto.MIMEHeader, proto string) bool {
+	for _, v := range h["Connection"] {
+		for _, option := range strings.Split(v, ",") {
+			switch strings.ToLower(strings.TrimSpace(option)) {
+			case "close":
+				return true
+			case "keep-alive":
+				return false
+			}
+		}
+	}
+	return proto == "HTTP/1.0"
+}
+
+func token(s string) bool {
+	return s != "" && strings.IndexFunc(s, func(c rune) bool { return c < 'A' || c > 'Z' }) < 0
+}
+
+// visible guards against bytes that would end a line, or a word of it, where the text is passed on.
+func visible(s string) bool {
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] >= 0x7f {
+			return false
+		}
+	}
+	return s != ""
+}
+
+// Visible tells whether a header's value is one word that can be passed on as it is.
+func Visible(s string) bool { return visible(s) }
+
+var reasons = map[int]string{
+	200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+	413: "Content Too Large", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
+	502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
+}
+
+// AppendHead begins an answer: the status line and the length of the body. Headers may follow; an
+// empty line ends them.
+func AppendHead(b []byte, status, length int) []byte {
+	b = append(b, "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(status), 10)
+	b = append(b, ' ')
+	b = append(b, reasons[status]...)
+	b = append(b, "\r\n"...)
+	return AppendLength(b, length)
+}
+
+// AppendLength adds the length of the body.
+func AppendLength(b []byte, length int) []byte {
+	b = append(b, "Content-Length: "...)
+	b = strconv.AppendInt(b, int64(length), 10)
+	return append(b, "\r\n"...)
+}
+
+// AppendField adds a header.
+func AppendField(b []byte, name, value string) []byte {
+	b = append(b, name...)
+	b = append(b, ": "...)
+	b = append(b, value...)
+	return append(b, "\r\n"...)
+}
+
+// AppendSeconds adds a header that states a span in seconds, to the millisecond.
+func AppendSeconds(b []byte, name string, seconds float64) []byte {
+	b = append(b, name...)
+	b = append(b, ": "...)
+	b = strconv.AppendFloat(b, seconds, 'f', 3, 64)
+	return append(b, "\r\n"...)
+}
--- /dev/null
+++ b/internal/ingress/ingress.go
@@ -0,0 +1,418 @@
+// Package ingress serves the clients: it reads their requests, has the engine decide on each, makes
+// the attempts and answers.
+package ingress
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"passhub"
+	"passhub/internal/engine"
+	"passhub/internal/http1"
+	"passhub/internal/upstream"
+)
+
+const (
+	sweepEvery = time.Second
+	idleMost   = 2 * time.Minute  // a client that keeps a connection longer has forgotten it
+	stuckMost  = 10 * time.Second // a client that takes longer over a message holds the connection for nothing
+)
+
+// Server serves the clients of one ingress.
+type Server struct {
+	engine    *engine.Engine
+	pool      *upstream.Pool
+	log       *logrus.Logger
+	methods   map[string]string // by class
+	plans     map[string]bool
+	ingresses int
+	most      int // connections at once
+
+	mu       sync.Mutex
+	conns    map[*conn]struct{}
+	room     sync.Cond // a connection has ended
+	draining bool      // idle connections are closed, others after their answer
+	halt     context.Context
+	halted   context.CancelFunc
+	leaving  bool // readiness: a SIGTERM has come
+}
+
+// New returns a server for what the settings name, with at most so many connections at once.
+func New(s *passhub.Settings, e *engine.Engine, p *upstream.Pool, most int, log *logrus.Logger) *Server {
+	srv := &Server{
+		engine: e, pool: p, log: log, methods: map[string]string{}, plans: map[string]bool{},
+		ingresses: max(1, s.Balancers), most: most, conns: map[*conn]struct{}{},
+	}
+	srv.room.L = &srv.mu
+	srv.halt, srv.halted = context.WithCancel(context.Background())
+	for _, c := range s.Classes {
+		srv.methods[c.Name] = "POST"
+		if c.Effect == passhub.Safe {
+			srv.methods[c.Name] = "GET"
+		}
+	}
+	for _, p := range s.Plans {
+		srv.plans[p.Name] = true
+	}
+	return srv
+}
+
+// state is what a connection is doing, for those who look after it from outside.
+type state int
+
+const (
+	idle    state = iota // between requests
+	reading              // a request has begun to come in
+	busy                 // a request is in the engine's hands
+	writing              // an answer goes out
+)
+
+// conn is one client's connection.
+type conn struct {
+	net.Conn
+	server  *Server
+	reader  *http1.Reader
+	out     []byte
+	watch   chan *engine.Ticket // the request in hand, for the watcher
+	arrived chan error          // the watcher's word: the next request begins, or the connection is over
+
+	// Guarded by the server's mutex.
+	state state
+	since time.Time
+	code  string // why it was ended from outside
+}
+
+// Serve accepts connections until the listener closes.
+func (s *Server) Serve(l net.Listener) error {
+	go s.sweep()
+	for {
+		nc, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED) {
+			s.log.WithField("code", "accept-failed").WithError(err).Warn("connection not accepted")
+			time.Sleep(10 * time.Millisecond) // guards against spinning while descriptors are short
+			continue
+		}
+		if err != nil {
+			return fmt.Errorf("accept: %w", err)
+		}
+		c := &conn{Conn: nc, server: s, reader: http1.NewReader(nc), since: time.Now(),
+			watch: make(chan *engine.Ticket), arrived: make(chan error, 1)}
+		s.add(c)
+		go c.run()
+	}
+}
+
+// add makes room first: the longest idle connection goes; where none is idle, it waits for an end.
+func (s *Server) add(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.conns) >= s.most {
+		var oldest *conn
+		for other := range s.conns {
+			if other.state == idle && other.code == "" && (oldest == nil || other.since.Before(oldest.since)) {
+				oldest = other
+			}
+		}
+		if oldest != nil {
+			oldest.end("room")
+		}
+		s.room.Wait()
+	}
+	s.conns[c] = struct{}{}
+	if s.draining {
+		// It was accepted as the hand-over ended: its first request is answered all the same.
+		c.since = time.Now()
+	}
+}
+
+// end closes a connection from outside, the server's mutex held.
+func (c *conn) end(code string) {
+	c.code = code
+	c.SetDeadline(time.Unix(1, 0))
+}
+
+// to enters a state. It tells whether the connection goes on.
+func (c *conn) to(st state) bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	if c.code != "" {
+		return false
+	}
+	c.state, c.since = st, time.Now()
+	if st == idle && c.server.draining {
+		c.code = "drain"
+		return false
+	}
+	return true
+}
+
+// run serves one connection and leaves one line in the log when it ends.
+func (c *conn) run() {
+	code, served, err := "", 0, c.reader.Wait()
+	watching := false
+	for ; err == nil && code == ""; served++ {
+		if !c.to(reading) {
+			break
+		}
+		var r *http1.Request
+		if r, err = c.reader.Request(); err != nil {
+			code = c.refuseMessage(err)
+			break
+		}
+		if !watching {
+			watching = true
+			go c.watcher()
+		}
+		if code, err = c.serve(r); err == nil && code == "" {
+			if !c.to(idle) {
+				break
+			}
+			err = <-c.arrived
+		}
+	}
+	c.Close()
+	close(c.watch)
+	s := c.server
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.room.Broadcast()
+	if c.code != "" {
+		code = c.code
+	}
+	s.mu.Unlock()
+	if code == "" {
+		code = ending(err)
+	}
+	entry := s.log.WithFields(logrus.Fields{"code": "client-" + code, "from": c.RemoteAddr().String(), "requests": served})
+	if err != nil && !errors.Is(err, io.EOF) {
+		entry = entry.WithError(err)
+	}
+	entry.Info("client connection ended")
+}
+
+// watcher looks out, while a request is in hand, for the client to leave or to send the next one.
+func (c *conn) watcher() {
+	for ticket := range c.watch {
+		err := c.reader.Wait()
+		if err != nil && ticket != nil {
+			ticket.Leave()
+		}
+		c.arrived <- err
+	}
+}
+
+func ending(err error) string {
+	var timeout net.Error
+	switch {
+	case errors.Is(err, io.EOF):
+		return "closed"
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return "cut-short"
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return "timeout"
+	}
+	return "reset"
+}
+
+// refuseMessage answers what is no request. The place where the next one would begin is lost.
+func (c *conn) refuseMessage(err error) (code string) {
+	p := problem{status: 400}
+	switch {
+	case errors.Is(err, http1.ErrStartLine):
+		p.code, p.text = "bad-request-line", "broken request line"
+	case errors.Is(err, http1.ErrHeader):
+		p.code, p.text = "bad-header", "broken header"
+	case errors.Is(err, http1.ErrFraming):
+		p.code, p.text = "bad-length", "broken length or transfer coding"
+	case errors.Is(err, http1.ErrHeadTooLarge):
+		p.status, p.code, p.text = 431, "head-too-large", "request line and headers too large"
+	case errors.Is(err, http1.ErrBodyTooLarge):
+		p.status, p.code, p.text = 413, "body-too-large", "body too large"
+	default:
+		return "" // the connection itself ended
+	}
+	if c.to(writing) {
+		c.answerProblem(&p, true)
+		// Closing with unread bytes would reset the connection, and the answer might be lost with it.
+		c.Conn.(*net.TCPConn).CloseWrite()
+		c.SetReadDeadline(time.Now().Add(time.Second))
+		io.CopyN(io.Discard, c.Conn, 4*http1.MaxBody)
+	}
+	return p.code
+}
+
+// serve is the life of one request: decide, attempt, perhaps again, answer. A code says why the
+// connection ends with it.
+func (c *conn) serve(r *http1.Request) (code string, err error) {
+	s := c.server
+	if r.Target == "/ready" {
+		return c.ready(r)
+	}
+	request, message, bad := s.parse(r)
+	if bad != nil {
+		s.log.WithFields(logrus.Fields{"code": bad.code, "status": bad.status}).Warn("bad request")
+		c.watch <- nil
+		return c.lastOf(r, c.answerProblem(bad, r.Close))
+	}
+
+	c.to(busy)
+	ctx, cancel := context.WithCancel(s.halt)
+	defer cancel()
+	ticket := s.engine.Submit(request, cancel)
+	c.watch <- ticket
+	for {
+		switch d := ticket.Next(); d.Kind {
+		case engine.Send:
+			result := s.pool.Do(ctx, d.Backend, message, d.Until)
+			if result.Outcome == passhub.Done {
+				err = c.answer(200, 0, result.Body, r.Close)
+				ticket.Ended(result.Outcome)
+				return c.lastOf(r, err)
+			}
+			ticket.Ended(result.Outcome)
+		case engine.Refuse:
+			return c.lastOf(r, c.answer(503, d.RetryAfter, nil, r.Close))
+		case engine.Fail:
+			return c.lastOf(r, c.answer(502, 0, nil, r.Close))
+		case engine.Gone:
+			return "gone", nil
+		}
+	}
+}
+
+// ready answers the front: 200 from the first moment, 503 once it is to stop coming.
+func (c *conn) ready(r *http1.Request) (code string, err error) {
+	c.watch <- nil
+	s := c.server
+	s.mu.Lock()
+	leaving := s.leaving
+	s.mu.Unlock()
+	if leaving {
+		return c.lastOf(r, c.answer(503, 0, nil, r.Close))
+	}
+	return c.lastOf(r, c.answer(200, 0, nil, r.Close))
+}
+
+// lastOf tells whether the connection ends with this answer.
+func (c *conn) lastOf(r *http1.Request, err error) (string, error) {
+	if err != nil {
+		return "write-failed", err
+	}
+	if r.Close {
+		return "asked", nil
+	}
+	return "", nil
+}
+
+// answer writes a whole answer at once.
+func (c *conn) answer(status int, retryAfter passhub.Seconds, body []byte, last bool) error {
+	b := http1.AppendHead(c.out[:0], status, len(body))
+	if retryAfter > 0 {
+		b = http1.AppendSeconds(b, "Retry-After", retryAfter)
+	}
+	return c.send(b, body, last)
+}
+
+func (c *conn) answerProblem(p *problem, last bool) error {
+	body := []byte(p.code + ": " + p.text + "\n")
+	b := http1.AppendHead(c.out[:0], p.status, len(body))
+	b = http1.AppendField(b, "Content-Type", "text/plain")
+	if p.allow != "" {
+		b = http1.AppendField(b, "Allow", p.allow)
+	}
+	return c.send(b, body, last)
+}
+
+func (c *conn) send(b, body []byte, last bool) error {
+	if last {
+		b = http1.AppendField(b, "Connection", "close")
+	}
+	b = append(b, "\r\n"...)
+	b = append(b, body...)
+	if c.out = b; cap(b) > 8<<10 {
+		c.out = nil // guards against many connections that each keep the room of a large answer
+	}
+	c.to(writing)
+	_, err := c.Write(b)
+	return err
+}
+
+// sweep ends connections that hold their place for nothing.
+func (s *Server) sweep() {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.halt.Done():
+			return
+		case now := <-ticker.C:
+			s.mu.Lock()
+			for c := range s.conns {
+				switch age := now.Sub(c.since); {
+				case c.code != "":
+				case c.state == idle && age > idleMost:
+					c.end("idle")
+				case c.state == reading && age > stuckMost:
+					c.end("slow-request")
+				case c.state == writing && age > stuckMost:
+					c.end("slow-reader")
+				}
+			}
+			s.mu.Unlock()
+		}
+	}
+}
+
+// Leave makes the readiness page say that clients should go elsewhere.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+}
+
+// Drain closes the idle connections and waits for the others to end. At the end of patience it stops
+// the attempts that are out, so that each request still gets its answer, and waits a little longer.
+func (s *Server) Drain(patience, rest time.Duration) {
+	s.mu.Lock()
+	s.draining = true
+	for c := range s.conns {
+		if c.state == idle && c.code == "" {
+			c.end("drain")
+		}
+	}
+	s.mu.Unlock()
+	if !s.wait(patience) {
+		s.halted()
+		s.wait(rest)
+	}
+	s.halted()
+}
+
+// wait tells whether all connections have ended in time.
+func (s *Server) wait(most time.Duration) bool {
+	late := false
+	timer := time.AfterFunc(most, func() {
+		s.mu.Lock()
+		late = true
+		s.room.Broadcast()
+		s.mu.Unlock()
+	})
+	defer timer.Stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.conns) > 0 && !late {
+		s.room.Wait()
+	}
+	return len(s.conns) == 0
+}
--- /dev/null
+++ b/internal/ingress/request.go
@@ -0,0 +1,103 @@
+package ingress
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"passhub"
+	"passhub/internal/http1"
+	"passhub/internal/upstream"
+)
+
+const (
+	pathPrefix  = "/api/"
+	mostTimeout = 300.0 // s: no client of this service waits that long
+	mostUnits   = 1e6
+	mostID      = 128 // bytes
+
+	// transit is taken off the time that a client waits: the answer still has its way to go.
+	transit = 10 * time.Millisecond
+)
+
+// problem is a request that cannot be handed to the module: the client's fault.
+type problem struct {
+	status     int
+	code, text string
+	allow      string // method, for a 405
+}
+
+// parse translates a client's request. Nothing here decides what becomes of it.
+func (s *Server) parse(r *http1.Request) (request passhub.Request, m *upstream.Message, bad *problem) {
+	fail := func(status int, code, text string) (passhub.Request, *upstream.Message, *problem) {
+		return passhub.Request{}, nil, &problem{status: status, code: code, text: text}
+	}
+	path, _, _ := strings.Cut(r.Target, "?")
+	if !strings.HasPrefix(path, pathPrefix) {
+		return fail(404, "unknown-path", "no such path")
+	}
+	request.Customer = path[strings.LastIndexByte(path, '/')+1:]
+	if n, err := strconv.ParseUint(request.Customer, 16, 64); err != nil || len(request.Customer) != 16 || n >= 1<<33 {
+		return fail(404, "unknown-customer", "the path does not end in a customer")
+	}
+	id := r.Header.Get("X-Request-ID")
+	if !http1.Visible(id) || len(id) > mostID {
+		return fail(400, "bad-request-id", "X-Request-ID is missing or not a word")
+	}
+	request.Class = r.Header.Get("X-Priority-Class")
+	method, ok := s.methods[request.Class]
+	if !ok {
+		return fail(400, "unknown-class", "X-Priority-Class names no class")
+	}
+	if r.Method != method {
+		_, _, bad = fail(405, "wrong-method", "this class goes by "+method)
+		bad.allow = method
+		return request, nil, bad
+	}
+	request.Plan = r.Header.Get("X-Tier")
+	if !s.plans[request.Plan] {
+		return fail(400, "unknown-plan", "X-Tier names no plan")
+	}
+	if request.Left, ok = decimal(r.Header.Get("X-Timeout")); !ok || request.Left <= 0 || request.Left > mostTimeout {
+		return fail(400, "bad-timeout", "X-Timeout is not a time in seconds")
+	}
+	request.Left = max(request.Left/2, request.Left-transit.Seconds())
+	if !terms(r.Header.Get("X-Call-Terms"), &request) || request.Doors > s.ingresses {
+		return fail(400, "bad-terms", "X-Call-Terms does not state units, spread and first")
+	}
+	request.Repeat = r.Header.Get("X-Retried") == "1"
+	return request, &upstream.Message{Method: r.Method, Target: r.Target, ID: id, Body: r.Body}, nil
+}
+
+// terms reads 'units=2,spread=3,first=1'. Terms it does not know are passed over.
+func terms(value string, r *passhub.Request) bool {
+	var units, spread, first bool
+	for value != "" {
+		var term string
+		term, value, _ = strings.Cut(value, ",")
+		name, number, _ := strings.Cut(strings.TrimSpace(term), "=")
+		switch name {
+		case "units":
+			if r.Units, units = decimal(number); r.Units <= 0 || r.Units > mostUnits {
+				return false
+			}
+		case "spread":
+			n, err := strconv.ParseUint(number, 10, 31)
+			r.Doors, spread = int(n), err == nil && n > 0
+		case "first":
+			_, err := strconv.ParseUint(number, 10, 31)
+			first = err == nil
+		}
+	}
+	return units && spread && first
+}
+
+// decimal reads a plain decimal number: no sign, exponent, infinity or other form of ParseFloat.
+func decimal(s string) (float64, bool) {
+	if s == "" || strings.Trim(s, "0123456789.") != "" {
+		return 0, false
+	}
+	v, err := strconv.ParseFloat(s, 64)
+	return v, err == nil && !math.IsInf(v, 0)
+}
--- a/passhub.go
+++ b/passhub.go
@@ -36,6 +36,9 @@
 	MayRetryAfter bool
 	MaxRetryAfter Seconds
 
+	ConnectTimeout Seconds // for the host: a connection not up by then counts as refused
+	Keepalive      Seconds // for the host: a backend closes connections idle for this long
+
 	MayCount  bool    // there is a counter service
 	CountFee  float64 // share of the whole result that one call for each request costs
 	CountWait Seconds // a call unanswered for this long has timed out
