Close connections with the answers of a drain, and look headers up by their canonical keys

Cause: an answer during the drain left the client to learn from the close alone that the connection ends; Header.Get with 'X-Request-ID' made the canonical key anew each time. Ruled out: garbage collection (below 3%).

--- a/cmd/mulleinrouter/main.go
+++ b/cmd/mulleinrouter/main.go
@@ -31,7 +31,7 @@
 const (
 	// After SIGTERM the front goes on sending for up to 0.4 s; SIGKILL comes after 3.7 s at the soonest.
 	handOver = 500 * time.Millisecond
-	patience = 2500 * time.Millisecond
+	patience = 2700 * time.Millisecond
 	rest     = 300 * time.Millisecond
 
 	defaultSockets  = 1024
@@ -100,7 +100,8 @@
 	server := ingress.New(&c.Settings, eng, pool, int(clientShare*float64(c.Limits.Sockets)), logger)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
-	logger.WithFields(logrus.Fields{"code": "started", "name": c.Name, "listen": c.Listen}).Info("serving")
+	logger.WithFields(logrus.Fields{"code": "started", "name": c.Name, "listen": listener.Addr().String()}).Info("serving")
+	out.Flush()
 
 	select {
 	case err := <-served:
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -131,8 +131,7 @@
 	}
 	s.conns[c] = struct{}{}
 	if s.draining {
-		// It was accepted as the hand-over ended: its first request is answered all the same.
-		c.since = time.Now()
+		c.end("drain") // accepted as the hand-over ended: the client asks elsewhere
 	}
 }
 
@@ -267,6 +266,7 @@
 	}
 
 	c.to(busy)
+	r.Close = r.Close || s.isDraining()
 	ctx, cancel := context.WithCancel(s.halt)
 	defer cancel()
 	ticket := s.engine.Submit(request, cancel)
@@ -381,6 +381,12 @@
 	s.mu.Unlock()
 }
 
+func (s *Server) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
 // Drain closes the idle connections and waits for the others to end. At the end of patience it stops
 // the attempts that are out, so that each request still gets its answer, and waits a little longer.
 func (s *Server) Drain(patience, rest time.Duration) {
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -17,6 +17,10 @@
 	mostUnits   = 1e6
 	mostID      = 128 // bytes
 
+	// The keys in textproto's own form: Get would make each anew.
+	keyID, keyClass, keyPlan         = "X-Request-Id", "X-Priority-Class", "X-Tier"
+	keyTimeout, keyTerms, keyRetried = "X-Timeout", "X-Call-Terms", "X-Retried"
+
 	// transit is taken off the time that a client waits: the answer still has its way to go.
 	transit = 10 * time.Millisecond
 )
@@ -41,11 +45,11 @@
 	if n, err := strconv.ParseUint(request.Customer, 16, 64); err != nil || len(request.Customer) != 16 || n >= 1<<33 {
 		return fail(404, "unknown-customer", "the path does not end in a customer")
 	}
-	id := r.Header.Get("X-Request-ID")
+	id := r.Header.Get(keyID)
 	if !http1.Visible(id) || len(id) > mostID {
 		return fail(400, "bad-request-id", "X-Request-ID is missing or not a word")
 	}
-	request.Class = r.Header.Get("X-Priority-Class")
+	request.Class = r.Header.Get(keyClass)
 	method, ok := s.methods[request.Class]
 	if !ok {
 		return fail(400, "unknown-class", "X-Priority-Class names no class")
@@ -55,18 +59,18 @@
 		bad.allow = method
 		return request, nil, bad
 	}
-	request.Plan = r.Header.Get("X-Tier")
+	request.Plan = r.Header.Get(keyPlan)
 	if !s.plans[request.Plan] {
 		return fail(400, "unknown-plan", "X-Tier names no plan")
 	}
-	if request.Left, ok = decimal(r.Header.Get("X-Timeout")); !ok || request.Left <= 0 || request.Left > mostTimeout {
+	if request.Left, ok = decimal(r.Header.Get(keyTimeout)); !ok || request.Left <= 0 || request.Left > mostTimeout {
 		return fail(400, "bad-timeout", "X-Timeout is not a time in seconds")
 	}
 	request.Left = max(request.Left/2, request.Left-transit.Seconds())
-	if !terms(r.Header.Get("X-Call-Terms"), &request) || request.Doors > s.ingresses {
+	if !terms(r.Header.Get(keyTerms), &request) || request.Doors > s.ingresses {
 		return fail(400, "bad-terms", "X-Call-Terms does not state units, spread and first")
 	}
-	request.Repeat = r.Header.Get("X-Retried") == "1"
+	request.Repeat = r.Header.Get(keyRetried) == "1"
 	return request, &upstream.Message{Method: r.Method, Target: r.Target, ID: id, Body: r.Body}, nil
 }
 
