Play recorded exchanges against the program and its network packages

What the tests found, each failing before its fix: an answer of the counter with an impossible length passed for a total of 0 (readAnswer left err nil); a head cut short counted as a clean close (ReadMIMEHeader gives EOF); header names of several words passed; a head just over 16 KiB was waited on for 10 s, for bytes already buffered did not count.

--- a/cmd/mulleinrouter/main.go
+++ b/cmd/mulleinrouter/main.go
@@ -100,14 +100,15 @@
 	server := ingress.New(&c.Settings, eng, pool, int(clientShare*float64(c.Limits.Sockets)), logger)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(listener) }()
-	logger.WithFields(logrus.Fields{"code": "started", "name": c.Name, "listen": listener.Addr().String()}).Info("serving")
+	logger.WithFields(logrus.Fields{"code": "process-started", "name": c.Name, "listen": listener.Addr().String()}).Info("serving")
 	out.Flush()
 
 	select {
 	case err := <-served:
 		return err
 	case sig := <-term:
-		logger.WithFields(logrus.Fields{"code": "stopping", "signal": sig.String()}).Info("handing over")
+		logger.WithFields(logrus.Fields{"code": "process-stopping", "signal": sig.String()}).Info("handing over")
+		out.Flush()
 	}
 	server.Leave()
 	select {
@@ -117,7 +118,7 @@
 	}
 	listener.Close()
 	server.Drain(patience, rest)
-	logger.WithField("code", "stopped").Info("all is answered")
+	logger.WithField("code", "process-stopped").Info("all is answered")
 	return nil
 }
 
--- /dev/null
+++ b/cmd/mulleinrouter/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package main
+
+var buildFlags = []string{"-race"}
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	lanes      = 4                      // connections; the counter resets any past 32 from one ingress
+	laneCount  = 4                      // connections; the counter resets any past 32 from one ingress
 	mostLeft   = 1024                   // calls of a lane that wait for their answer, given up ones too
 	connectFor = 250 * time.Millisecond // longest wait for a connection
 	againAfter = 100 * time.Millisecond // between tries to connect
@@ -38,25 +38,49 @@
 	wait  time.Duration
 	told  Told
 	log   *logrus.Logger
-	lanes [lanes]*lane
+	lanes []*lane
 	stop  chan struct{}
 }
 
 // New returns a client that gives a call up after wait. It tells what came of each call once.
 func New(addr string, wait time.Duration, told Told, log *logrus.Logger) *Client {
+	c := newClient(addr, wait, told, log, laneCount)
+	go c.look()
+	return c
+}
+
+// newClient leaves it to the caller to look after the lanes.
+func newClient(addr string, wait time.Duration, told Told, log *logrus.Logger, lanes int) *Client {
 	c := &Client{addr: addr, wait: wait, told: told, log: log, stop: make(chan struct{})}
-	for i := range c.lanes {
-		c.lanes[i] = &lane{client: c}
-		go c.lanes[i].run()
+	for range lanes {
+		l := &lane{client: c}
+		c.lanes = append(c.lanes, l)
+		go l.run()
 	}
 	return c
 }
 
+// look looks after the lanes until the client is closed.
+func (c *Client) look() {
+	ticker := time.NewTicker(checkEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.stop:
+			return
+		case now := <-ticker.C:
+			for _, l := range c.lanes {
+				l.check(now)
+			}
+		}
+	}
+}
+
 // Close ends the connections. Calls that are out stay unanswered.
 func (c *Client) Close() {
 	close(c.stop)
 	for _, l := range c.lanes {
-		l.drop("closed", nil)
+		l.drop("counter-closed", nil)
 	}
 }
 
@@ -65,14 +89,13 @@
 func (c *Client) Add(name string, amount float64, keep passhub.Seconds) {
 	h := fnv.New32a()
 	io.WriteString(h, name)
-	c.lanes[h.Sum32()%lanes].add(name, amount, keep)
+	c.lanes[h.Sum32()%uint32(len(c.lanes))].add(name, amount, keep)
 }
 
 // call is one that waits for its answer. Its place in the lane stays taken after it has been given
 // up, for its answer may still come and must not pass for that of the next one.
 type call struct {
 	name  string
-	ping  bool
 	over  bool // told, or given up
 	at    time.Time
 	timer *time.Timer
@@ -140,34 +163,21 @@
 		l.mu.Lock()
 		l.conn, l.heard = conn, time.Now()
 		l.mu.Unlock()
-		done := make(chan struct{})
-		go l.check(done)
-		err = l.read(conn)
-		close(done)
-		l.drop("", err)
+		l.drop("", l.read(conn))
 	}
 }
 
 // check keeps an idle connection from being closed, and ends a silent one.
-func (l *lane) check(done chan struct{}) {
-	ticker := time.NewTicker(checkEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-done:
-			return
-		case now := <-ticker.C:
-			l.mu.Lock()
-			switch {
-			case l.conn == nil:
-			case len(l.left) > 0 && now.Sub(l.left[0].at) > silentFor && now.Sub(l.heard) > silentFor:
-				l.conn.SetReadDeadline(now)
-			case len(l.left) == 0 && now.Sub(l.heard) > pingAfter:
-				l.out = append(l.out[:0], "*1\r\n$4\r\nPING\r\n"...)
-				l.write(&call{ping: true, over: true, at: now})
-			}
-			l.mu.Unlock()
-		}
+func (l *lane) check(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case l.conn == nil:
+	case len(l.left) > 0 && now.Sub(l.left[0].at) > silentFor && now.Sub(l.heard) > silentFor:
+		l.conn.SetReadDeadline(now)
+	case len(l.left) == 0 && now.Sub(l.heard) > pingAfter:
+		l.out = append(l.out[:0], "*1\r\n$4\r\nPING\r\n"...)
+		l.write(&call{over: true, at: now})
 	}
 }
 
@@ -193,15 +203,15 @@
 	switch {
 	case code != "":
 	case errors.As(err, &timeout) && timeout.Timeout():
-		code = "silent"
+		code = "counter-silent"
 	case errors.Is(err, io.EOF):
-		code = "ended"
+		code = "counter-ended"
 	case errors.Is(err, errAnswer):
-		code = "bad-answer"
+		code = "counter-bad-answer"
 	default:
-		code = "broken"
+		code = "counter-broken"
 	}
-	l.client.log.WithFields(logrus.Fields{"code": "counter-" + code, "lost": len(lost)}).Info("counter connection ended")
+	l.client.log.WithFields(logrus.Fields{"code": code, "lost": len(lost)}).Info("counter connection ended")
 	for _, c := range lost {
 		l.client.told(c.name, passhub.Reset, 0)
 	}
@@ -259,6 +269,7 @@
 		if word != "-1" {
 			var n int
 			if n, err = strconv.Atoi(word); err != nil || n < 1 || n > 64 {
+				err = errAnswer // a length that no number has: what follows cannot be told apart
 				break
 			}
 			if line, err = r.ReadLine(); err != nil {
--- /dev/null
+++ b/internal/counter/counter_test.go
@@ -0,0 +1,70 @@
+package counter
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"passhub"
+	"passhub/internal/exchange"
+)
+
+var words = map[passhub.Outcome]string{
+	passhub.Done: "done", passhub.Busy: "busy", passhub.Failed: "failed", passhub.TimedOut: "timed out",
+	passhub.Reset: "reset", passhub.Refused: "refused",
+}
+
+// TestExchanges plays one lane's calls and answers.
+func TestExchanges(t *testing.T) {
+	exchange.Each(t, "testdata/*.txt", func(t *testing.T, script string) {
+		p := exchange.New(t, "counter")
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		told := make(chan string, 10)
+		c := newClient(p.Addr("counter"), time.Minute, func(name string, outcome passhub.Outcome, total float64) {
+			told <- fmt.Sprintf("%s %s %v", name, words[outcome], total)
+		}, log, 1)
+		defer c.Close()
+		l := c.lanes[0]
+		p.Hooks["up"] = func(string) string { // the lane has noticed its connection
+			for {
+				l.mu.Lock()
+				up := l.conn != nil
+				l.mu.Unlock()
+				if up {
+					return ""
+				}
+				time.Sleep(time.Millisecond)
+			}
+		}
+		p.Hooks["add"] = func(text string) string {
+			var name string
+			var amount, keep float64
+			fmt.Sscan(text, &name, &amount, &keep)
+			c.Add(name, amount, keep)
+			return text
+		}
+		p.Hooks["give-up"] = func(string) string { // as the timer of the oldest call does
+			l.mu.Lock()
+			oldest := l.left[0]
+			l.mu.Unlock()
+			l.giveUp(oldest)
+			return ""
+		}
+		p.Hooks["told"] = func(string) string { return <-told }
+		p.Hooks["idle"] = func(string) string { // looked after when nothing has been heard for long
+			l.mu.Lock()
+			l.heard = l.heard.Add(-time.Hour)
+			for _, c := range l.left {
+				c.at = c.at.Add(-time.Hour)
+			}
+			l.mu.Unlock()
+			l.check(time.Now())
+			return ""
+		}
+		p.Play(script)
+	})
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -123,7 +123,10 @@
 	}
 }
 
-var errStatus = errors.New("unexpected status")
+var (
+	errStatus = errors.New("unexpected status")
+	errList   = errors.New("not a list")
+)
 
 func code(err error) string {
 	var timeout net.Error
@@ -132,6 +135,8 @@
 		return "discovery-silent"
 	case errors.Is(err, errStatus):
 		return "discovery-status"
+	case errors.Is(err, errList):
+		return "discovery-bad-list"
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return "discovery-ended"
 	}
@@ -203,9 +208,10 @@
 func (w *Watcher) take(raw []byte) error {
 	var l List
 	if err := api.Unmarshal(raw, &l); err != nil {
-		return fmt.Errorf("not a list: %w", err)
+		return fmt.Errorf("%w: %w", errList, err)
 	}
 	w.rev = l.Rev
 	w.Tell(w.Directory.apply(&l))
+	w.Log.WithFields(logrus.Fields{"code": "discovery-list", "rev": l.Rev, "changed": len(l.Targets)}).Info("list of quote servers changed")
 	return nil
 }
--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,127 @@
+package engine
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"passhub"
+)
+
+// counter keeps the calls that it is given, and answers none.
+type counter struct{ calls chan string }
+
+func (c counter) Add(name string, amount float64, keep passhub.Seconds) { c.calls <- name }
+
+func settings() passhub.Settings {
+	return passhub.Settings{
+		Balancers: 1, MaxAttempts: 2, MayCancel: true, MayCount: true, CountWait: 0.03, MaxUnits: 1, MayRetryAfter: true, MaxRetryAfter: 1,
+		Classes: []passhub.Class{{Name: "read", Aim: 20, Deadline: 30, Worth: 1, Effect: passhub.Safe},
+			{Name: "send", Aim: 20, Deadline: 30, Worth: 1}},
+		Plans: []passhub.Plan{{Name: "p", Rate: 1000, Burst: 1000, Price: 1}, {Name: "thin", Rate: 0.5, Burst: 2, Price: 1}},
+	}
+}
+
+func started(c Counter) *Engine {
+	e := New(passhub.New(settings(), 1), NewClock())
+	e.Start(c)
+	e.Backends(passhub.Backends{Complete: true, List: []passhub.Backend{{ID: "b", Serving: true, Size: 1}}})
+	return e
+}
+
+func request(class, plan string, doors int) passhub.Request {
+	return passhub.Request{Class: class, Plan: plan, Customer: "c", Left: 30, Units: 1, Doors: doors}
+}
+
+var noTimes = cmpopts.IgnoreFields(Decision{}, "Until", "RetryAfter")
+
+// What came of the attempts decides what is next, down to the final answer; nothing is left behind.
+func TestDecisions(t *testing.T) {
+	send := Decision{Kind: Send, Backend: "b"}
+	for _, tc := range []struct {
+		name, class string
+		outcomes    []passhub.Outcome
+		want        []Decision
+	}{
+		{"served", "read", []passhub.Outcome{passhub.Done}, []Decision{send}},
+		{"safe again, refused after the last", "read", []passhub.Outcome{passhub.Reset, passhub.Failed}, []Decision{send, send, {Kind: Refuse}}},
+		{"unsafe that may have run fails", "send", []passhub.Outcome{passhub.Reset}, []Decision{send, {Kind: Fail}}},
+		{"unsafe that timed out fails", "send", []passhub.Outcome{passhub.TimedOut}, []Decision{send, {Kind: Fail}}},
+		{"unsafe that has not run is refused", "send", []passhub.Outcome{passhub.Busy}, []Decision{send, {Kind: Refuse}}},
+		{"unsafe that was skipped goes again", "send", []passhub.Outcome{passhub.Skipped, passhub.Done}, []Decision{send, send}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			e := started(nil)
+			ticket := e.Submit(request(tc.class, "p", 1), func() {})
+			var got []Decision
+			for _, o := range tc.outcomes {
+				got = append(got, ticket.Next())
+				ticket.Ended(o)
+			}
+			if len(tc.want) > len(tc.outcomes) {
+				got = append(got, ticket.Next())
+			}
+			if diff := cmp.Diff(tc.want, got, noTimes); diff != "" {
+				t.Error(diff)
+			}
+			if len(e.tickets) != 0 || len(ticket.next) != 0 {
+				t.Errorf("%d requests and %d decisions left behind", len(e.tickets), len(ticket.next))
+			}
+		})
+	}
+}
+
+// A client that leaves ends its attempt, and its request once that has ended.
+func TestLeaveWithAnAttemptOut(t *testing.T) {
+	e, cancelled := started(nil), 0
+	ticket := e.Submit(request("send", "p", 1), func() { cancelled++ })
+	ticket.Next()
+	ticket.Leave()
+	ticket.Leave() // once is enough
+	if cancelled != 1 || len(e.tickets) != 1 {
+		t.Errorf("cancelled %d times, %d requests kept; want 1 and 1", cancelled, len(e.tickets))
+	}
+	ticket.Ended(passhub.Cancelled)
+	if diff := cmp.Diff(Decision{Kind: Gone}, ticket.Next()); diff != "" || len(e.tickets) != 0 {
+		t.Errorf("%d requests kept\n%s", len(e.tickets), diff)
+	}
+}
+
+// A client that leaves while its request waits for the counter leaves nothing to do; the late answer harms nobody.
+func TestLeaveWhileWaiting(t *testing.T) {
+	c := counter{make(chan string, 1)}
+	e := started(c)
+	ticket := e.Submit(request("read", "thin", 2), func() { t.Error("cancelled, but nothing was out") })
+	name := <-c.calls
+	ticket.Leave()
+	if diff := cmp.Diff(Decision{Kind: Gone}, ticket.Next()); diff != "" {
+		t.Error(diff)
+	}
+	e.Counted(name, passhub.Done, 1)
+	if len(e.tickets) != 0 {
+		t.Errorf("%d requests kept", len(e.tickets))
+	}
+}
+
+// A counter that never answers does not keep a request: the module's timer goes on without it.
+func TestCounterSilent(t *testing.T) {
+	c := counter{make(chan string, 1)}
+	e := started(c)
+	ticket := e.Submit(request("read", "thin", 2), func() {})
+	<-c.calls
+	if diff := cmp.Diff(Decision{Kind: Send, Backend: "b"}, ticket.Next(), noTimes); diff != "" {
+		t.Error(diff)
+	}
+	ticket.Ended(passhub.Done)
+}
+
+// Where the settings promise a counter and there is none, each call is told to have failed.
+func TestNoCounter(t *testing.T) {
+	e := started(nil)
+	ticket := e.Submit(request("read", "thin", 2), func() {})
+	if diff := cmp.Diff(Decision{Kind: Send, Backend: "b"}, ticket.Next(), noTimes); diff != "" {
+		t.Error(diff)
+	}
+	ticket.Ended(passhub.Done)
+}
--- /dev/null
+++ b/internal/exchange/exchange.go
@@ -0,0 +1,201 @@
+// Package exchange plays recorded byte exchanges, kept in text files, over real sockets against the
+// code under test. Only tests import it.
+//
+// A line of a script is a step; empty lines and those that begin with # are passed over.
+//
+//	NAME > TEXT    writes TEXT and a line end; NAME >> TEXT leaves the line end out
+//	NAME < TEXT    reads a line, which must be TEXT; a * at its end stands for any rest
+//	NAME << TEXT   reads as many bytes as TEXT has, which must be it
+//	NAME chunk T   writes T as one line in a chunk of a chunked body
+//	NAME accept    takes the next connection to a listener; the first is taken by itself
+//	NAME eof       the other side must end the connection
+//	NAME close     ends it; NAME reset does so with a reset; NAME stop ends the listener
+//	@HOOK TEXT     calls a function of the test, which must return TEXT
+//
+// TEXT may hold Go escapes, and {NAME} for the address of a listener. A name that is no listener is a
+// client, which connects with its first step.
+package exchange
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// patience ends a test that hangs. No step's success depends on it.
+const patience = 20 * time.Second
+
+// Player plays scripts.
+type Player struct {
+	Target string // address that clients connect to
+	Hooks  map[string]func(text string) string
+
+	t         testing.TB
+	listeners map[string]net.Listener
+	conns     map[string]*conn
+}
+
+type conn struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+// New returns a player with listeners on free ports of the loopback.
+func New(t testing.TB, listeners ...string) *Player {
+	p := &Player{t: t, Hooks: map[string]func(string) string{}, listeners: map[string]net.Listener{}, conns: map[string]*conn{}}
+	for _, name := range listeners {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.listeners[name] = l
+		t.Cleanup(func() { l.Close() })
+	}
+	t.Cleanup(func() {
+		for _, c := range p.conns {
+			c.Close()
+		}
+	})
+	return p
+}
+
+// Addr is the address of a listener.
+func (p *Player) Addr(name string) string { return p.listeners[name].Addr().String() }
+
+// Each plays every script that the pattern names, in a test of its own.
+func Each(t *testing.T, pattern string, play func(t *testing.T, script string)) {
+	files, err := filepath.Glob(pattern)
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no script %s: %v", pattern, err)
+	}
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) { play(t, file) })
+	}
+}
+
+// Play plays one script, and compares what came with what is written there.
+func (p *Player) Play(script string) {
+	p.t.Helper()
+	raw, err := os.ReadFile(script)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	var want, got []string
+	for _, line := range strings.Split(string(raw), "\n") {
+		if line = strings.TrimRight(line, "\r"); line == "" || line[0] == '#' {
+			continue
+		}
+		want = append(want, line)
+		step, err := p.step(line)
+		if err != nil {
+			step = fmt.Sprintf("%s: %v", line, err)
+		}
+		if got = append(got, step); step != line {
+			break // nothing after it means what it says
+		}
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		p.t.Fatalf("%s (-recorded +now):\n%s", script, diff)
+	}
+}
+
+// step does what a line says and returns the line as it should have been.
+func (p *Player) step(line string) (string, error) {
+	name, verb, _ := strings.Cut(line, " ")
+	if hook, ok := strings.CutPrefix(name, "@"); ok {
+		if p.Hooks[hook] == nil {
+			return "", fmt.Errorf("no hook %s", hook)
+		}
+		return strings.TrimRight(name+" "+p.Hooks[hook](verb), " "), nil
+	}
+	verb, text, _ := strings.Cut(verb, " ")
+	for other := range p.listeners {
+		text = strings.ReplaceAll(text, "{"+other+"}", p.Addr(other))
+	}
+	plain, err := strconv.Unquote(`"` + strings.ReplaceAll(text, `"`, `\"`) + `"`)
+	if err != nil {
+		return "", fmt.Errorf("%q: %w", text, err)
+	}
+	if verb == "stop" {
+		return line, p.listeners[name].Close()
+	}
+	c, err := p.conn(name, verb == "accept")
+	if err != nil {
+		return "", err
+	}
+	c.SetDeadline(time.Now().Add(patience))
+	var came string
+	switch verb {
+	case "accept":
+		return line, nil
+	case ">":
+		_, err = io.WriteString(c, plain+"\r\n")
+		return line, err
+	case ">>":
+		_, err = io.WriteString(c, plain)
+		return line, err
+	case "chunk":
+		_, err = fmt.Fprintf(c, "%x\r\n%s\n\r\n", len(plain)+1, plain)
+		return line, err
+	case "close", "reset":
+		delete(p.conns, name)
+		if verb == "reset" {
+			c.Conn.(*net.TCPConn).SetLinger(0)
+		}
+		return line, c.Close()
+	case "eof":
+		rest, err := io.ReadAll(c.r)
+		if timeout, ok := err.(net.Error); ok && timeout.Timeout() || len(rest) > 0 {
+			return "", fmt.Errorf("not ended, but %q: %v", rest, err)
+		}
+		delete(p.conns, name)
+		return line, c.Close()
+	case "<":
+		came, err = c.r.ReadString('\n')
+		came = strings.TrimRight(came, "\r\n")
+		if start, any := strings.CutSuffix(plain, "*"); any && strings.HasPrefix(came, start) {
+			came = plain
+		}
+	case "<<":
+		b := make([]byte, len(plain))
+		_, err = io.ReadFull(c.r, b)
+		came = string(b)
+	default:
+		return "", fmt.Errorf("no verb %q", verb)
+	}
+	if err == nil && came == plain {
+		return line, nil
+	}
+	return fmt.Sprintf("%s %s %s", name, verb, came), err
+}
+
+func (p *Player) conn(name string, accept bool) (*conn, error) {
+	if c := p.conns[name]; c != nil && !accept {
+		return c, nil
+	}
+	var nc net.Conn
+	var err error
+	if l, ok := p.listeners[name]; ok {
+		l.(*net.TCPListener).SetDeadline(time.Now().Add(patience))
+		nc, err = l.Accept()
+	} else {
+		nc, err = net.Dial("tcp", p.Target)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if old := p.conns[name]; old != nil {
+		p.t.Cleanup(func() { old.Close() }) // stays open: only further steps go elsewhere
+	}
+	p.conns[name] = &conn{nc, bufio.NewReader(nc)}
+	return p.conns[name], nil
+}
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -67,7 +67,7 @@
 
 // Request reads the next request.
 func (m *Reader) Request() (*Request, error) {
-	m.limit.N = MaxHead
+	m.limit.N = MaxHead - int64(m.buf.Buffered())
 	line, err := m.startLine()
 	if err != nil {
 		return nil, err
@@ -105,7 +105,7 @@
 // Response reads the head of the next final answer to a request that was not a HEAD.
 func (m *Reader) Response() (*Response, error) {
 	for {
-		m.limit.N = MaxHead
+		m.limit.N = MaxHead - int64(m.buf.Buffered())
 		line, err := m.startLine()
 		if err != nil {
 			return nil, err
@@ -169,9 +169,16 @@
 	switch {
 	case errors.As(err, &broken):
 		return nil, fmt.Errorf("%w: %.80s", ErrHeader, broken)
+	case errors.Is(err, io.EOF):
+		return nil, m.tooLarge(io.ErrUnexpectedEOF)
 	case err != nil:
 		return nil, m.tooLarge(err)
 	}
+	for key := range h { // textproto lets a name of several words pass
+		if strings.IndexByte(key, ' ') >= 0 {
+			return nil, fmt.Errorf("%w: %.80q", ErrHeader, key)
+		}
+	}
 	return h, nil
 }
 
--- /dev/null
+++ b/internal/http1/http1_test.go
@@ -0,0 +1,85 @@
+package http1
+
+import (
+	"errors"
+	"io"
+	"net/textproto"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestRequest(t *testing.T) {
+	for _, tc := range []struct {
+		name, in string
+		want     *Request
+		err      error
+	}{
+		{"plain", "GET /a?b HTTP/1.1\r\nx-tier: plus\r\n\r\n",
+			&Request{Method: "GET", Target: "/a?b", Header: textproto.MIMEHeader{"X-Tier": {"plus"}}}, nil},
+		{"bare line ends, empty line first", "\nGET / HTTP/1.1\nA: b\n\n",
+			&Request{Method: "GET", Target: "/", Header: textproto.MIMEHeader{"A": {"b"}}}, nil},
+		{"length", "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcd",
+			&Request{Method: "POST", Target: "/", Header: textproto.MIMEHeader{"Content-Length": {"3"}}, Body: []byte("abc")}, nil},
+		{"chunks and a trailer", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nab\r\n1\r\nc\r\n0\r\nT: u\r\n\r\n",
+			&Request{Method: "POST", Target: "/", Header: textproto.MIMEHeader{"Transfer-Encoding": {"chunked"}}, Body: []byte("abc")}, nil},
+		{"close", "GET / HTTP/1.1\r\nConnection: x, Close\r\n\r\n",
+			&Request{Method: "GET", Target: "/", Header: textproto.MIMEHeader{"Connection": {"x, Close"}}, Close: true}, nil},
+		{"1.0", "GET / HTTP/1.0\r\n\r\n", &Request{Method: "GET", Target: "/", Header: textproto.MIMEHeader{}, Close: true}, nil},
+		{"1.0 kept", "GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n",
+			&Request{Method: "GET", Target: "/", Header: textproto.MIMEHeader{"Connection": {"keep-alive"}}}, nil},
+		{"nothing", "", nil, io.EOF},
+		{"ended in the head", "GET / HTTP/1.1\r\nA: b\r\n", nil, io.ErrUnexpectedEOF},
+		{"ended in the body", "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nab", nil, io.ErrUnexpectedEOF},
+		{"ended in a chunk", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nab", nil, io.ErrUnexpectedEOF},
+		{"ended before the last chunk", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", nil, io.ErrUnexpectedEOF},
+		{"no words", "hello\r\n\r\n", nil, ErrStartLine},
+		{"line end inside", "GET /a\rb HTTP/1.1\r\n\r\n", nil, ErrStartLine},
+		{"empty lines", "\r\n\r\n\r\n\r\n", nil, ErrStartLine},
+		{"no colon", "GET / HTTP/1.1\r\nabc\r\n\r\n", nil, ErrHeader},
+		{"two lengths", "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc", nil, ErrFraming},
+		{"length and chunks", "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", nil, ErrFraming},
+		{"signed length", "POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\nabc", nil, ErrFraming},
+		{"huge length", "POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n", nil, ErrFraming},
+		{"large length", "POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", nil, ErrBodyTooLarge},
+		{"large chunks", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n" + strings.Repeat("x", 65537) + "\r\n0\r\n\r\n", nil, ErrBodyTooLarge},
+		{"chunks of one", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1\r\nx\r\n", 65000), nil, ErrBodyTooLarge},
+		{"chunk size", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n", nil, ErrFraming},
+		{"chunk end", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n", nil, ErrFraming},
+		{"endless line", "GET /" + strings.Repeat("a", MaxHead), nil, ErrHeadTooLarge},
+		{"endless headers", "GET / HTTP/1.1\r\n" + strings.Repeat("A: b\r\n", MaxHead), nil, ErrHeadTooLarge},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			got, err := NewReader(strings.NewReader(tc.in)).Request()
+			if !errors.Is(err, tc.err) {
+				t.Fatalf("error %v, want %v", err, tc.err)
+			}
+			if tc.err == nil {
+				if diff := cmp.Diff(tc.want, got); diff != "" {
+					t.Error(diff)
+				}
+			}
+		})
+	}
+}
+
+// A message ends where it says: what follows it is the next one.
+func TestMessagesInARow(t *testing.T) {
+	r := NewReader(strings.NewReader("POST /1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n" +
+		"POST /2 HTTP/1.1\r\nContent-Length: 1\r\n\r\nb" + "GET /3 HTTP/1.1\r\n\r\n"))
+	var got []string
+	for {
+		if err := r.Wait(); err != nil {
+			break
+		}
+		m, err := r.Request()
+		if err != nil {
+			t.Fatal(err)
+		}
+		got = append(got, m.Target+" "+string(m.Body))
+	}
+	if diff := cmp.Diff([]string{"/1 a", "/2 b", "/3 "}, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -99,7 +99,7 @@
 			return nil
 		}
 		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED) {
-			s.log.WithField("code", "accept-failed").WithError(err).Warn("connection not accepted")
+			s.log.WithField("code", "process-accept-failed").WithError(err).Warn("connection not accepted")
 			time.Sleep(10 * time.Millisecond) // guards against spinning while descriptors are short
 			continue
 		}
@@ -125,13 +125,13 @@
 			}
 		}
 		if oldest != nil {
-			oldest.end("room")
+			oldest.end("client-room")
 		}
 		s.room.Wait()
 	}
 	s.conns[c] = struct{}{}
 	if s.draining {
-		c.end("drain") // accepted as the hand-over ended: the client asks elsewhere
+		c.end("client-drain") // accepted as the hand-over ended: the client asks elsewhere
 	}
 }
 
@@ -150,7 +150,7 @@
 	}
 	c.state, c.since = st, time.Now()
 	if st == idle && c.server.draining {
-		c.code = "drain"
+		c.code = "client-drain"
 		return false
 	}
 	return true
@@ -193,7 +193,7 @@
 	if code == "" {
 		code = ending(err)
 	}
-	entry := s.log.WithFields(logrus.Fields{"code": "client-" + code, "from": c.RemoteAddr().String(), "requests": served})
+	entry := s.log.WithFields(logrus.Fields{"code": code, "from": c.RemoteAddr().String(), "requests": served})
 	if err != nil && !errors.Is(err, io.EOF) {
 		entry = entry.WithError(err)
 	}
@@ -215,13 +215,13 @@
 	var timeout net.Error
 	switch {
 	case errors.Is(err, io.EOF):
-		return "closed"
+		return "client-closed"
 	case errors.Is(err, io.ErrUnexpectedEOF):
-		return "cut-short"
+		return "client-cut-short"
 	case errors.As(err, &timeout) && timeout.Timeout():
-		return "timeout"
+		return "client-timeout"
 	}
-	return "reset"
+	return "client-reset"
 }
 
 // refuseMessage answers what is no request. The place where the next one would begin is lost.
@@ -229,15 +229,15 @@
 	p := problem{status: 400}
 	switch {
 	case errors.Is(err, http1.ErrStartLine):
-		p.code, p.text = "bad-request-line", "broken request line"
+		p.code, p.text = "client-bad-request-line", "broken request line"
 	case errors.Is(err, http1.ErrHeader):
-		p.code, p.text = "bad-header", "broken header"
+		p.code, p.text = "client-bad-header", "broken header"
 	case errors.Is(err, http1.ErrFraming):
-		p.code, p.text = "bad-length", "broken length or transfer coding"
+		p.code, p.text = "client-bad-length", "broken length or transfer coding"
 	case errors.Is(err, http1.ErrHeadTooLarge):
-		p.status, p.code, p.text = 431, "head-too-large", "request line and headers too large"
+		p.status, p.code, p.text = 431, "client-head-too-large", "request line and headers too large"
 	case errors.Is(err, http1.ErrBodyTooLarge):
-		p.status, p.code, p.text = 413, "body-too-large", "body too large"
+		p.status, p.code, p.text = 413, "client-body-too-large", "body too large"
 	default:
 		return "" // the connection itself ended
 	}
@@ -286,7 +286,7 @@
 		case engine.Fail:
 			return c.lastOf(r, c.answer(502, 0, nil, r.Close))
 		case engine.Gone:
-			return "gone", nil
+			return "client-gone", nil
 		}
 	}
 }
@@ -307,10 +307,10 @@
 // lastOf tells whether the connection ends with this answer.
 func (c *conn) lastOf(r *http1.Request, err error) (string, error) {
 	if err != nil {
-		return "write-failed", err
+		return "client-write-failed", err
 	}
 	if r.Close {
-		return "asked", nil
+		return "client-asked", nil
 	}
 	return "", nil
 }
@@ -362,11 +362,11 @@
 				switch age := now.Sub(c.since); {
 				case c.code != "":
 				case c.state == idle && age > idleMost:
-					c.end("idle")
+					c.end("client-idle")
 				case c.state == reading && age > stuckMost:
-					c.end("slow-request")
+					c.end("client-slow-request")
 				case c.state == writing && age > stuckMost:
-					c.end("slow-reader")
+					c.end("client-slow-reader")
 				}
 			}
 			s.mu.Unlock()
@@ -394,7 +394,7 @@
 	s.draining = true
 	for c := range s.conns {
 		if c.state == idle && c.code == "" {
-			c.end("drain")
+			c.end("client-drain")
 		}
 	}
 	s.mu.Unlock()
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -39,36 +39,36 @@
 	}
 	path, _, _ := strings.Cut(r.Target, "?")
 	if !strings.HasPrefix(path, pathPrefix) {
-		return fail(404, "unknown-path", "no such path")
+		return fail(404, "request-unknown-path", "no such path")
 	}
 	request.Customer = path[strings.LastIndexByte(path, '/')+1:]
 	if n, err := strconv.ParseUint(request.Customer, 16, 64); err != nil || len(request.Customer) != 16 || n >= 1<<33 {
-		return fail(404, "unknown-customer", "the path does not end in a customer")
+		return fail(404, "request-unknown-customer", "the path does not end in a customer")
 	}
 	id := r.Header.Get(keyID)
 	if !http1.Visible(id) || len(id) > mostID {
-		return fail(400, "bad-request-id", "X-Request-ID is missing or not a word")
+		return fail(400, "request-bad-id", "X-Request-ID is missing or not a word")
 	}
 	request.Class = r.Header.Get(keyClass)
 	method, ok := s.methods[request.Class]
 	if !ok {
-		return fail(400, "unknown-class", "X-Priority-Class names no class")
+		return fail(400, "request-unknown-class", "X-Priority-Class names no class")
 	}
 	if r.Method != method {
-		_, _, bad = fail(405, "wrong-method", "this class goes by "+method)
+		_, _, bad = fail(405, "request-wrong-method", "this class goes by "+method)
 		bad.allow = method
 		return request, nil, bad
 	}
 	request.Plan = r.Header.Get(keyPlan)
 	if !s.plans[request.Plan] {
-		return fail(400, "unknown-plan", "X-Tier names no plan")
+		return fail(400, "request-unknown-plan", "X-Tier names no plan")
 	}
 	if request.Left, ok = decimal(r.Header.Get(keyTimeout)); !ok || request.Left <= 0 || request.Left > mostTimeout {
-		return fail(400, "bad-timeout", "X-Timeout is not a time in seconds")
+		return fail(400, "request-bad-timeout", "X-Timeout is not a time in seconds")
 	}
 	request.Left = max(request.Left/2, request.Left-transit.Seconds())
 	if !terms(r.Header.Get(keyTerms), &request) || request.Doors > s.ingresses {
-		return fail(400, "bad-terms", "X-Call-Terms does not state units, spread and first")
+		return fail(400, "request-bad-terms", "X-Call-Terms does not state units, spread and first")
 	}
 	request.Repeat = r.Header.Get(keyRetried) == "1"
 	return request, &upstream.Message{Method: r.Method, Target: r.Target, ID: id, Body: r.Body}, nil
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,104 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/sirupsen/logrus"
+
+	"passhub"
+	"passhub/internal/exchange"
+)
+
+var words = map[passhub.Outcome]string{
+	passhub.Failed: "Failed", passhub.Done: "Done", passhub.Busy: "Busy", passhub.TimedOut: "TimedOut",
+	passhub.Refused: "Refused", passhub.Reset: "Reset", passhub.Cancelled: "Cancelled", passhub.Skipped: "Skipped",
+}
+
+// TestOutcomes plays every row of the protocol's table of outcomes, and what keeps connections fit for use.
+func TestOutcomes(t *testing.T) {
+	exchange.Each(t, "testdata/*.txt", func(t *testing.T, script string) {
+		p := exchange.New(t, "server", "other")
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		addr, serving := p.Addr("server"), true
+		pool := New(func(string) (string, bool) { return addr, serving },
+			Limits{Connections: 1, ConnectTimeout: time.Minute, Keepalive: time.Minute}, log)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		results := make(chan Result, 1)
+		do := func(body string, wait time.Duration) {
+			m := &Message{Method: "POST", Target: "/api/0?q=1", ID: "7", Body: []byte(body)}
+			go func() { results <- pool.Do(ctx, "s-1", m, time.Now().Add(wait)) }()
+		}
+		p.Hooks["do"] = func(body string) string {
+			do(body, time.Minute)
+			return body
+		}
+		p.Hooks["do-in-ms"] = func(ms string) string {
+			n, _ := strconv.Atoi(ms)
+			do("", time.Duration(n)*time.Millisecond)
+			return ms
+		}
+		p.Hooks["outcome"] = func(string) string {
+			r := <-results
+			return strings.TrimSpace(words[r.Outcome] + " " + string(r.Body))
+		}
+		p.Hooks["cancel"] = func(string) string {
+			cancel()
+			return ""
+		}
+		p.Hooks["leaving"] = func(string) string {
+			serving = false
+			return ""
+		}
+		p.Hooks["moved"] = func(string) string {
+			addr = p.Addr("other")
+			return ""
+		}
+		p.Hooks["sweep-later"] = func(later string) string {
+			d, _ := time.ParseDuration(later)
+			pool.sweep(time.Now().Add(d))
+			return later
+		}
+		p.Hooks["open"] = func(string) string {
+			pool.mu.Lock()
+			defer pool.mu.Unlock()
+			return strconv.Itoa(pool.open)
+		}
+		p.Play(script)
+	})
+}
+
+// A server that left while the connection was being made gets nothing.
+func TestLeftDuringDial(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	asked := 0
+	pool := New(func(string) (string, bool) {
+		asked++
+		return l.Addr().String(), asked <= 2 // before the dial, for its address, and after it
+	}, Limits{Connections: 1, ConnectTimeout: time.Minute, Keepalive: time.Minute}, log)
+	got := pool.Do(context.Background(), "s-1", &Message{Method: "GET", Target: "/", ID: "1"}, time.Now().Add(time.Minute))
+	if diff := cmp.Diff(Result{Outcome: passhub.Skipped}, got); diff != "" {
+		t.Error(diff)
+	}
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if b, err := io.ReadAll(c); len(b) > 0 || err != nil {
+		t.Errorf("the server got %q, %v", b, err)
+	}
+}
