Answer a request that begins as its connection is ended, and test the hand-over

Cause, read from the code: a connection ended as unused (drain, room, idle) while the watcher had already seen the first bytes of a request closed without an answer, since to(reading) gave up; the bytes were read, so the client could not know to ask again. Now such a request is answered as the connection's last. Answers of a drain say 'Connection: close', also those decided before it.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -143,27 +143,38 @@
 
 // to enters a state. It tells whether the connection goes on.
 func (c *conn) to(st state) bool {
-	c.server.mu.Lock()
-	defer c.server.mu.Unlock()
+	s := c.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if st == idle && s.draining && c.code == "" {
+		c.code = "client-drain"
+	}
 	if c.code != "" {
-		return false
+		switch st {
+		case idle:
+			return false
+		case reading, busy:
+			// It was ended as unused, but a request had begun to come in: taken is taken. It is the last.
+			c.SetDeadline(time.Time{})
+		}
 	}
 	c.state, c.since = st, time.Now()
-	if st == idle && c.server.draining {
-		c.code = "client-drain"
-		return false
-	}
 	return true
 }
 
+// last tells whether the connection is to end with the next answer.
+func (c *conn) last() bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	return c.code != "" || c.server.draining
+}
+
 // run serves one connection and leaves one line in the log when it ends.
 func (c *conn) run() {
 	code, served, err := "", 0, c.reader.Wait()
 	watching := false
 	for ; err == nil && code == ""; served++ {
-		if !c.to(reading) {
-			break
-		}
+		c.to(reading)
 		var r *http1.Request
 		if r, err = c.reader.Request(); err != nil {
 			code = c.refuseMessage(err)
@@ -187,7 +198,7 @@
 	delete(s.conns, c)
 	s.room.Broadcast()
 	if c.code != "" {
-		code = c.code
+		code, err = c.code, nil // the error is what ending it made
 	}
 	s.mu.Unlock()
 	if code == "" {
@@ -241,13 +252,11 @@
 	default:
 		return "" // the connection itself ended
 	}
-	if c.to(writing) {
-		c.answerProblem(&p, true)
-		// Closing with unread bytes would reset the connection, and the answer might be lost with it.
-		c.Conn.(*net.TCPConn).CloseWrite()
-		c.SetReadDeadline(time.Now().Add(time.Second))
-		io.CopyN(io.Discard, c.Conn, 4*http1.MaxBody)
-	}
+	c.answerProblem(&p, true)
+	// Closing with unread bytes would reset the connection, and the answer might be lost with it.
+	c.Conn.(*net.TCPConn).CloseWrite()
+	c.SetReadDeadline(time.Now().Add(time.Second))
+	io.CopyN(io.Discard, c.Conn, 4*http1.MaxBody)
 	return p.code
 }
 
@@ -266,7 +275,6 @@
 	}
 
 	c.to(busy)
-	r.Close = r.Close || s.isDraining()
 	ctx, cancel := context.WithCancel(s.halt)
 	defer cancel()
 	ticket := s.engine.Submit(request, cancel)
@@ -294,14 +302,13 @@
 // ready answers the front: 200 from the first moment, 503 once it is to stop coming.
 func (c *conn) ready(r *http1.Request) (code string, err error) {
 	c.watch <- nil
-	s := c.server
-	s.mu.Lock()
-	leaving := s.leaving
-	s.mu.Unlock()
-	if leaving {
-		return c.lastOf(r, c.answer(503, 0, nil, r.Close))
+	status := 200
+	c.server.mu.Lock()
+	if c.server.leaving {
+		status = 503
 	}
-	return c.lastOf(r, c.answer(200, 0, nil, r.Close))
+	c.server.mu.Unlock()
+	return c.lastOf(r, c.answer(status, 0, nil, r.Close))
 }
 
 // lastOf tells whether the connection ends with this answer.
@@ -335,7 +342,7 @@
 }
 
 func (c *conn) send(b, body []byte, last bool) error {
-	if last {
+	if last || c.last() {
 		b = http1.AppendField(b, "Connection", "close")
 	}
 	b = append(b, "\r\n"...)
@@ -357,19 +364,23 @@
 		case <-s.halt.Done():
 			return
 		case now := <-ticker.C:
-			s.mu.Lock()
-			for c := range s.conns {
-				switch age := now.Sub(c.since); {
-				case c.code != "":
-				case c.state == idle && age > idleMost:
-					c.end("client-idle")
-				case c.state == reading && age > stuckMost:
-					c.end("client-slow-request")
-				case c.state == writing && age > stuckMost:
-					c.end("client-slow-reader")
-				}
-			}
-			s.mu.Unlock()
+			s.sweepAt(now)
+		}
+	}
+}
+
+func (s *Server) sweepAt(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		switch age := now.Sub(c.since); {
+		case c.code != "":
+		case c.state == idle && age > idleMost:
+			c.end("client-idle")
+		case c.state == reading && age > stuckMost:
+			c.end("client-slow-request")
+		case c.state == writing && age > stuckMost:
+			c.end("client-slow-reader")
 		}
 	}
 }
@@ -381,12 +392,6 @@
 	s.mu.Unlock()
 }
 
-func (s *Server) isDraining() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.draining
-}
-
 // Drain closes the idle connections and waits for the others to end. At the end of patience it stops
 // the attempts that are out, so that each request still gets its answer, and waits a little longer.
 func (s *Server) Drain(patience, rest time.Duration) {
--- /dev/null
+++ b/internal/ingress/ingress_test.go
@@ -0,0 +1,100 @@
+package ingress
+
+import (
+	"io"
+	"net"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"passhub"
+	"passhub/internal/engine"
+	"passhub/internal/exchange"
+	"passhub/internal/upstream"
+)
+
+// TestExchanges plays clients against a server that takes two connections at once.
+func TestExchanges(t *testing.T) {
+	exchange.Each(t, "testdata/*.txt", func(t *testing.T, script string) {
+		p := exchange.New(t, "server")
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		settings := passhub.Settings{
+			Balancers: 1, MaxAttempts: 1, MayCancel: true,
+			Classes: []passhub.Class{{Name: "send", Aim: 20, Deadline: 30, Worth: 1}},
+			Plans:   []passhub.Plan{{Name: "plus", Rate: 1000, Burst: 1000, Price: 1}},
+		}
+		e := engine.New(passhub.New(settings, 1), engine.NewClock())
+		e.Start(nil)
+		e.Backends(passhub.Backends{Complete: true, List: []passhub.Backend{{ID: "s-1", Serving: true, Size: 1}}})
+		pool := upstream.New(func(string) (string, bool) { return p.Addr("server"), true },
+			upstream.Limits{Connections: 2, ConnectTimeout: time.Minute, Keepalive: time.Minute}, log)
+		s := New(&settings, e, pool, 2, log)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		go s.Serve(l)
+		p.Target = l.Addr().String()
+		p.Hooks["leave"] = func(string) string {
+			s.Leave()
+			return ""
+		}
+		p.Hooks["drain"] = func(string) string {
+			s.Drain(time.Minute, time.Minute)
+			return ""
+		}
+		p.Hooks["drain-begins"] = func(string) string {
+			go s.Drain(time.Minute, time.Minute)
+			for draining := false; !draining; time.Sleep(time.Millisecond) {
+				s.mu.Lock()
+				draining = s.draining
+				s.mu.Unlock()
+			}
+			return ""
+		}
+		p.Hooks["sweep-later"] = func(later string) string {
+			d, _ := time.ParseDuration(later)
+			s.sweepAt(time.Now().Add(d))
+			return later
+		}
+		p.Hooks["reading"] = func(string) string { // a request has begun to come in
+			for {
+				s.mu.Lock()
+				for c := range s.conns {
+					if c.state == reading {
+						s.mu.Unlock()
+						return ""
+					}
+				}
+				s.mu.Unlock()
+				time.Sleep(time.Millisecond)
+			}
+		}
+		p.Hooks["open"] = func(string) string {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return strconv.Itoa(len(s.conns))
+		}
+		p.Play(script)
+	})
+}
+
+// A connection that is ended as unused at the moment a request begins still serves that one, as its last.
+func TestTakenIsTaken(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	c := &conn{Conn: near, server: &Server{}}
+	c.end("client-room")
+	c.to(reading)
+	go far.Write([]byte("x"))
+	if n, err := near.Read(make([]byte, 1)); n != 1 || err != nil {
+		t.Errorf("read %d bytes, %v", n, err)
+	}
+	if !c.last() || c.to(idle) {
+		t.Error("the connection goes on after it")
+	}
+}
