--- a/cmd/mulleinrouter/main.go
+++ b/cmd/mulleinrouter/main.go
@@ -98,24 +98,15 @@
 	go pool.Run(ctx)
 
 	server := ingress.New(&c.Settings, eng, pool, int(clientShare*float64(c.Limits.Sockets)), logger)
-	served := make(chan error, 1)
-	go func() { served <- server.Serve(listener) }()
+	go server.Serve(listener)
 	logger.WithFields(logrus.Fields{"code": "process-started", "name": c.Name, "listen": listener.Addr().String()}).Info("serving")
 	out.Flush()
 
-	select {
-	case err := <-served:
-		return err
-	case sig := <-term:
-		logger.WithFields(logrus.Fields{"code": "process-stopping", "signal": sig.String()}).Info("handing over")
-		out.Flush()
-	}
+	sig := <-term
+	logger.WithFields(logrus.Fields{"code": "process-stopping", "signal": sig.String()}).Info("handing over")
+	out.Flush()
 	server.Leave()
-	select {
-	case err := <-served:
-		return err
-	case <-time.After(handOver):
-	}
+	time.Sleep(handOver) // the front still sends
 	listener.Close()
 	server.Drain(patience, rest)
 	logger.WithField("code", "process-stopped").Info("all is answered")
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -83,3 +83,28 @@
 		t.Error(diff)
 	}
 }
+
+// Whatever comes, a message is read whole within its bounds or is an error, and no reading of it panics.
+func FuzzMessages(f *testing.F) {
+	for _, seed := range []string{
+		"GET /a?b HTTP/1.1\r\nx-tier: plus\r\n\r\n",
+		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nab\r\n0\r\nT: u\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
+		"HTTP/1.0 200\r\n\r\nto the end", "HTTP/1.1 204 X\r\nConnection: close\r\n\r\n",
+	} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, in string) {
+		if r, err := NewReader(strings.NewReader(in)).Request(); err == nil {
+			if len(r.Body) > MaxBody || !Visible(r.Target) || !Visible(r.Method) {
+				t.Errorf("passed %q %q with %d bytes", r.Method, r.Target, len(r.Body))
+			}
+		}
+		m := NewReader(strings.NewReader(in))
+		if a, err := m.Response(); err == nil {
+			if body, err := m.Body(a); err == nil && len(body) > MaxBody || a.Status < 200 {
+				t.Errorf("passed status %d with %d bytes", a.Status, len(body))
+			}
+		}
+	})
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -5,11 +5,9 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -21,9 +19,10 @@
 )
 
 const (
-	sweepEvery = time.Second
-	idleMost   = 2 * time.Minute  // a client that keeps a connection longer has forgotten it
-	stuckMost  = 10 * time.Second // a client that takes longer over a message holds the connection for nothing
+	sweepEvery  = time.Second
+	idleMost    = 2 * time.Minute       // a client that keeps a connection longer has forgotten it
+	acceptPause = 10 * time.Millisecond // guards against spinning on an error that stays
+	stuckMost   = 10 * time.Second      // a client that takes longer over a message holds the connection for nothing
 )
 
 // Server serves the clients of one ingress.
@@ -91,21 +90,19 @@
 }
 
 // Serve accepts connections until the listener closes.
-func (s *Server) Serve(l net.Listener) error {
+func (s *Server) Serve(l net.Listener) {
 	go s.sweep()
 	for {
 		nc, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
-			return nil
+			return
 		}
-		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ECONNABORTED) {
+		if err != nil {
+			// Descriptors run short, or the network fails for a while: no reason to give up all clients.
 			s.log.WithField("code", "process-accept-failed").WithError(err).Warn("connection not accepted")
-			time.Sleep(10 * time.Millisecond) // guards against spinning while descriptors are short
+			time.Sleep(acceptPause)
 			continue
 		}
-		if err != nil {
-			return fmt.Errorf("accept: %w", err)
-		}
 		c := &conn{Conn: nc, server: s, reader: http1.NewReader(nc), since: time.Now(),
 			watch: make(chan *engine.Ticket), arrived: make(chan error, 1)}
 		s.add(c)
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -41,7 +41,8 @@
 	if !strings.HasPrefix(path, pathPrefix) {
 		return fail(404, "request-unknown-path", "no such path")
 	}
-	request.Customer = path[strings.LastIndexByte(path, '/')+1:]
+	// One customer under two spellings would have two quotas.
+	request.Customer = strings.ToLower(path[strings.LastIndexByte(path, '/')+1:])
 	if n, err := strconv.ParseUint(request.Customer, 16, 64); err != nil || len(request.Customer) != 16 || n >= 1<<33 {
 		return fail(404, "request-unknown-customer", "the path does not end in a customer")
 	}
