--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,12 +7,10 @@
 	"net"
 	"os"
 	"strconv"
-	"strings"
-
-	jsoniter "github.com/json-iterator/go"
 
 	"passhub"
 	"passhub/internal/discovery"
+	"passhub/internal/jsontext"
 	"passhub/internal/settings"
 )
 
@@ -33,8 +31,6 @@
 	Sockets  int     `json:"sockets"`
 }
 
-var api = jsoniter.ConfigCompatibleWithStandardLibrary
-
 // Load reads the file that NODE_CONFIG names. The other variables win over what the file says.
 func Load(getenv func(string) string) (*Config, error) {
 	path := getenv("NODE_CONFIG")
@@ -54,17 +50,17 @@
 
 func parse(raw []byte, getenv func(string) string) (*Config, error) {
 	var file struct {
-		Name      string              `json:"name"`
-		Listen    string              `json:"listen"`
-		Discovery string              `json:"discovery"`
-		Counter   string              `json:"counter"`
-		Seed      string              `json:"seed"`
-		Limits    Limits              `json:"limits"`
-		Known     *discovery.List     `json:"known"`
-		Settings  jsoniter.RawMessage `json:"settings"`
+		Name      string          `json:"name"`
+		Listen    string          `json:"listen"`
+		Discovery string          `json:"discovery"`
+		Counter   string          `json:"counter"`
+		Seed      string          `json:"seed"`
+		Limits    Limits          `json:"limits"`
+		Known     *discovery.List `json:"known"`
+		Settings  jsontext.Raw    `json:"settings"`
 	}
-	if err := api.Unmarshal(raw, &file); err != nil {
-		return nil, fmt.Errorf("not a configuration: %s", oneLine(err))
+	if err := jsontext.Decode(raw, &file); err != nil {
+		return nil, fmt.Errorf("not a configuration: %w", err)
 	}
 	c := &Config{
 		Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Counter: file.Counter,
@@ -98,7 +94,7 @@
 		return nil, errors.New("limits: below zero")
 	}
 	if c.Settings, err = settings.Decode(file.Settings); err != nil {
-		return nil, errors.New(oneLine(err))
+		return nil, err
 	}
 	if len(c.Settings.Classes) == 0 || len(c.Settings.Plans) == 0 {
 		return nil, errors.New("settings: no classes or no plans")
@@ -108,6 +104,3 @@
 	}
 	return c, nil
 }
-
-// oneLine keeps a decoder's message, which may quote the file, to one line.
-func oneLine(err error) string { return strings.Join(strings.Fields(err.Error()), " ") }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -12,11 +12,11 @@
 	"sync"
 	"time"
 
-	jsoniter "github.com/json-iterator/go"
 	"github.com/sirupsen/logrus"
 
 	"passhub"
 	"passhub/internal/http1"
+	"passhub/internal/jsontext"
 )
 
 const (
@@ -26,8 +26,6 @@
 	mostLine   = 4 << 20 // bytes of a whole list
 )
 
-var api = jsoniter.ConfigCompatibleWithStandardLibrary
-
 // List is a list of quote servers, or the changes to one, in discovery's form.
 type List struct {
 	Rev     int64    `json:"rev"`
@@ -207,7 +205,7 @@
 
 func (w *Watcher) take(raw []byte) error {
 	var l List
-	if err := api.Unmarshal(raw, &l); err != nil {
+	if err := jsontext.Decode(raw, &l); err != nil {
 		return fmt.Errorf("%w: %w", errList, err)
 	}
 	w.rev = l.Rev
--- /dev/null
+++ b/internal/jsontext/jsontext.go
@@ -0,0 +1,26 @@
+// Package jsontext is the one place where JSON is read and written, the way encoding/json would.
+package jsontext
+
+import (
+	"errors"
+	"io"
+	"strings"
+
+	jsoniter "github.com/json-iterator/go"
+)
+
+// Raw is a value that is left as it came.
+type Raw = jsoniter.RawMessage
+
+var api = jsoniter.ConfigCompatibleWithStandardLibrary
+
+// Decode reads a value. Its errors are one line: the decoder quotes what it read, line ends included.
+func Decode(raw []byte, v any) error {
+	if err := api.Unmarshal(raw, v); err != nil {
+		return errors.New(strings.Join(strings.Fields(err.Error()), " "))
+	}
+	return nil
+}
+
+// NewEncoder returns an encoder that writes each value on a line.
+func NewEncoder(w io.Writer) *jsoniter.Encoder { return api.NewEncoder(w) }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,13 +6,10 @@
 	"errors"
 	"fmt"
 
-	jsoniter "github.com/json-iterator/go"
-
 	"passhub"
+	"passhub/internal/jsontext"
 )
 
-var api = jsoniter.ConfigCompatibleWithStandardLibrary
-
 // Decode reads the settings object that an instance is given at its start, in the simulator's first
 // message or in a real ingress's configuration. Keys it does not know are ignored.
 func Decode(raw []byte) (passhub.Settings, error) {
@@ -46,7 +43,7 @@
 	if len(raw) == 0 || string(raw) == "null" {
 		return passhub.Settings{}, errors.New("no settings")
 	}
-	if err := api.Unmarshal(raw, &w); err != nil {
+	if err := jsontext.Decode(raw, &w); err != nil {
 		return passhub.Settings{}, fmt.Errorf("settings: %w", err)
 	}
 	s := passhub.Settings{
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -8,14 +8,11 @@
 	"fmt"
 	"io"
 
-	jsoniter "github.com/json-iterator/go"
-
 	"passhub"
+	"passhub/internal/jsontext"
 	"passhub/internal/settings"
 )
 
-var api = jsoniter.ConfigCompatibleWithStandardLibrary
-
 type batch struct {
 	Ts     *float64 `json:"Ts"`
 	Frame  int64    `json:"frame"`
@@ -23,8 +20,8 @@
 }
 
 type group struct {
-	I      int                   `json:"I"`
-	Events []jsoniter.RawMessage `json:"events"`
+	I      int            `json:"I"`
+	Events []jsontext.Raw `json:"events"`
 }
 
 type reply struct {
@@ -52,7 +49,7 @@
 func (h *Host) Serve(in io.Reader, out io.Writer) error {
 	reader := bufio.NewReaderSize(in, 1<<20)
 	writer := bufio.NewWriterSize(out, 1<<20)
-	encoder := api.NewEncoder(writer)
+	encoder := jsontext.NewEncoder(writer)
 	for n := 1; ; n++ {
 		line, err := reader.ReadBytes('\n')
 		if len(line) > 0 && !(len(line) == 1 && line[0] == '\n') {
@@ -79,7 +76,7 @@
 // Batch handles one line and returns the reply to encode.
 func (h *Host) Batch(line []byte) (any, error) {
 	var b batch
-	if err := api.Unmarshal(line, &b); err != nil {
+	if err := jsontext.Decode(line, &b); err != nil {
 		return nil, fmt.Errorf("not a batch: %w", err)
 	}
 	if b.Ts == nil {
@@ -106,9 +103,9 @@
 
 // event hands one event to its gateway. Unknown names, and events for a gateway that is not
 // running, are skipped.
-func (h *Host) event(now float64, instance int, raw jsoniter.RawMessage) ([]passhub.Action, error) {
-	var msg []jsoniter.RawMessage
-	if err := api.Unmarshal(raw, &msg); err != nil {
+func (h *Host) event(now float64, instance int, raw jsontext.Raw) ([]passhub.Action, error) {
+	var msg []jsontext.Raw
+	if err := jsontext.Decode(raw, &msg); err != nil {
 		return nil, fmt.Errorf("not a message: %w", err)
 	}
 	f := fields{msg: msg}
@@ -170,11 +167,11 @@
 
 // fields reads the values of a message by place; missing ones and nulls are zero.
 type fields struct {
-	msg []jsoniter.RawMessage
+	msg []jsontext.Raw
 	err error
 }
 
-func (f *fields) raw(i int) jsoniter.RawMessage {
+func (f *fields) raw(i int) jsontext.Raw {
 	if i >= len(f.msg) || string(f.msg[i]) == "null" {
 		return nil
 	}
@@ -183,7 +180,7 @@
 
 func field[T any](f *fields, i int) (v T) {
 	if raw := f.raw(i); raw != nil {
-		if err := api.Unmarshal(raw, &v); err != nil && f.err == nil {
+		if err := jsontext.Decode(raw, &v); err != nil && f.err == nil {
 			f.err = fmt.Errorf("value %d: %w", i, err)
 		}
 	}
@@ -204,9 +201,9 @@
 // outcome gives Failed, which proves nothing, for a word it does not know.
 func outcome(word string) passhub.Outcome { return outcomes[word] }
 
-func backends(raw jsoniter.RawMessage) ([]passhub.Backend, error) {
-	var rows [][]jsoniter.RawMessage
-	if err := api.Unmarshal(raw, &rows); err != nil {
+func backends(raw jsontext.Raw) ([]passhub.Backend, error) {
+	var rows [][]jsontext.Raw
+	if err := jsontext.Decode(raw, &rows); err != nil {
 		return nil, err
 	}
 	list := make([]passhub.Backend, 0, len(rows))
