--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -3,8 +3,9 @@
 //
 // A line of a script is a step; empty lines and those that begin with # are passed over.
 //
+//	let KEY TEXT   {KEY} stands for TEXT in the steps that follow
 //	NAME > TEXT    writes TEXT and a line end; NAME >> TEXT leaves the line end out
-//	NAME < TEXT    reads a line, which must be TEXT; a * at its end stands for any rest
+//	NAME < TEXT    reads as many lines as TEXT has, which must be it; a * at a line's end stands for any rest
 //	NAME << TEXT   reads as many bytes as TEXT has, which must be it
 //	NAME chunk T   writes T as one line in a chunk of a chunked body
 //	NAME accept    takes the next connection to a listener; the first is taken by itself
@@ -40,6 +41,7 @@
 	Hooks  map[string]func(text string) string
 
 	t         testing.TB
+	lets      map[string]string
 	listeners map[string]net.Listener
 	conns     map[string]*conn
 }
@@ -51,7 +53,7 @@
 
 // New returns a player with listeners on free ports of the loopback.
 func New(t testing.TB, listeners ...string) *Player {
-	p := &Player{t: t, Hooks: map[string]func(string) string{}, listeners: map[string]net.Listener{}, conns: map[string]*conn{}}
+	p := &Player{t: t, lets: map[string]string{}, Hooks: map[string]func(string) string{}, listeners: map[string]net.Listener{}, conns: map[string]*conn{}}
 	for _, name := range listeners {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -118,6 +120,13 @@
 		return strings.TrimRight(name+" "+p.Hooks[hook](verb), " "), nil
 	}
 	verb, text, _ := strings.Cut(verb, " ")
+	if name == "let" {
+		p.lets[verb] = text
+		return line, nil
+	}
+	for key, value := range p.lets {
+		text = strings.ReplaceAll(text, "{"+key+"}", value)
+	}
 	for other := range p.listeners {
 		text = strings.ReplaceAll(text, "{"+other+"}", p.Addr(other))
 	}
@@ -160,10 +169,19 @@
 		delete(p.conns, name)
 		return line, c.Close()
 	case "<":
-		came, err = c.r.ReadString('\n')
-		came = strings.TrimRight(came, "\r\n")
-		if start, any := strings.CutSuffix(plain, "*"); any && strings.HasPrefix(came, start) {
-			came = plain
+		for i, want := range strings.Split(plain, "\r\n") {
+			var part string
+			part, err = c.r.ReadString('\n')
+			part = strings.TrimRight(part, "\r\n")
+			if start, any := strings.CutSuffix(want, "*"); any && strings.HasPrefix(part, start) {
+				part = want
+			}
+			if i > 0 {
+				came += "\r\n"
+			}
+			if came += part; err != nil || part != want {
+				break
+			}
 		}
 	case "<<":
 		b := make([]byte, len(plain))
@@ -175,7 +193,7 @@
 	if err == nil && came == plain {
 		return line, nil
 	}
-	return fmt.Sprintf("%s %s %s", name, verb, came), err
+	return fmt.Sprintf("%s %s %s", name, verb, strings.Trim(strconv.Quote(came), `"`)), err
 }
 
 func (p *Player) conn(name string, accept bool) (*conn, error) {
