Do not blame a server for a dial that the ingress gave up

Read from the code: a dial ended by the client's leaving, by the time running out or by the ingress's own bound on connections was told as Refused, and the module leaves a server that refused alone for a second. At fault: Do mapped every error of get. Now such an attempt is Skipped: nothing was sent, and the server is not judged.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"syscall"
@@ -36,6 +37,7 @@
 	lookup Lookup
 	limits Limits
 	log    *logrus.Logger
+	dial   func(ctx context.Context, network, addr string) (net.Conn, error)
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by backend, the newest last
@@ -54,7 +56,8 @@
 
 // New returns an empty pool.
 func New(lookup Lookup, limits Limits, log *logrus.Logger) *Pool {
-	return &Pool{lookup: lookup, limits: limits, log: log, idle: map[string][]*conn{}}
+	dialer := net.Dialer{Timeout: limits.ConnectTimeout, KeepAlive: -1}
+	return &Pool{lookup: lookup, limits: limits, log: log, dial: dialer.DialContext, idle: map[string][]*conn{}}
 }
 
 // Message is a request as it goes to a backend.
@@ -77,6 +80,9 @@
 		return Result{Outcome: passhub.Skipped}
 	}
 	c, err := p.get(ctx, backend, until)
+	if errors.Is(err, errUnneeded) || errors.Is(err, errFull) {
+		return Result{Outcome: passhub.Skipped} // nothing was sent, and the server is not to blame
+	}
 	if err != nil {
 		return Result{Outcome: passhub.Refused}
 	}
@@ -173,7 +179,10 @@
 	return append(b, m.Body...)
 }
 
-var errFull = errors.New("all connections are in use")
+var (
+	errFull     = errors.New("all connections are in use")
+	errUnneeded = errors.New("given up before the connection was up")
+)
 
 // get takes the connection used last, or opens one.
 func (p *Pool) get(ctx context.Context, backend string, until time.Time) (*conn, error) {
@@ -205,13 +214,19 @@
 	if spare != nil {
 		p.close(spare, "upstream-room", nil)
 	}
-	dialer := net.Dialer{Timeout: p.limits.ConnectTimeout, Deadline: until, KeepAlive: -1}
-	nc, err := dialer.DialContext(ctx, "tcp", addr)
+	within, done := context.WithDeadline(ctx, until)
+	nc, err := p.dial(within, "tcp", addr)
+	done()
 	if err != nil {
 		p.mu.Lock()
 		p.open--
 		p.mu.Unlock()
-		p.log.WithFields(logrus.Fields{"code": "upstream-connect-failed", "backend": backend}).WithError(err).Info("upstream connection ended")
+		code := "upstream-connect-failed"
+		if ctx.Err() != nil || time.Until(until) <= 0 {
+			// Taken for a refusal, it would have the module leave a server alone that is well.
+			code, err = "upstream-not-needed", fmt.Errorf("%w: %w", errUnneeded, err)
+		}
+		p.log.WithFields(logrus.Fields{"code": code, "backend": backend}).WithError(err).Info("upstream connection ended")
 		return nil, err
 	}
 	c := &conn{Conn: nc, backend: backend, addr: addr, reader: http1.NewReader(nc)}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -102,3 +103,39 @@
 		t.Errorf("the server got %q, %v", b, err)
 	}
 }
+
+// A dial that ends because the client left or the time ran out says nothing about the server.
+func TestGivenUpDuringDial(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		left  time.Duration
+		leave bool
+		want  passhub.Outcome
+	}{
+		{"client left", time.Minute, true, passhub.Skipped},
+		{"time ran out", time.Millisecond, false, passhub.Skipped},
+		{"no connection", time.Minute, false, passhub.Refused},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			log := logrus.New()
+			log.SetOutput(io.Discard)
+			pool := New(func(string) (string, bool) { return "h:1", true }, Limits{Connections: 1}, log)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			pool.dial = func(within context.Context, _, _ string) (net.Conn, error) {
+				if tc.want == passhub.Refused {
+					return nil, syscall.ECONNREFUSED
+				}
+				if tc.leave {
+					cancel()
+				}
+				<-within.Done()
+				return nil, within.Err()
+			}
+			got := pool.Do(ctx, "s-1", &Message{Method: "GET", Target: "/", ID: "1"}, time.Now().Add(tc.left))
+			if diff := cmp.Diff(Result{Outcome: tc.want}, got); diff != "" || pool.open != 0 {
+				t.Errorf("%d connections counted as open\n%s", pool.open, diff)
+			}
+		})
+	}
+}
