--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -274,7 +275,7 @@
 func (c *chunks) next() error {
 	if c.begun {
 		if line, err := c.line(); err != nil || len(line) > 0 {
-			return cmpErr(err, ErrFraming)
+			return cmp.Or(err, ErrFraming)
 		}
 	}
 	c.begun = true
@@ -291,7 +292,7 @@
 	}
 	for { // the trailer says nothing that matters here
 		if line, err := c.line(); err != nil || len(line) == 0 {
-			return cmpErr(err, io.EOF)
+			return cmp.Or(err, io.EOF)
 		}
 	}
 }
@@ -310,13 +311,6 @@
 	return bytes.TrimRight(line, "\r\n"), nil
 }
 
-func cmpErr(err, otherwise error) error {
-	if err != nil {
-		return err
-	}
-	return otherwise
-}
-
 func closes(h textproto.MIMEHeader, proto string) bool {
 	for _, v := range h["Connection"] {
 		for _, option := range strings.Split(v, ",") {
