Make tests independent of timing, and give a client that waits the first idle place

The script said that nobody listens, but the player's listener is open and the kernel completes the lane's dial into its backlog; whether the call found a connection was a race of the test's. Now a lane runs only when the script says so.

The other tests were read for the same kind of fault: - counter: the heartbeat was checked with times that an answer could change in between; the check is now told a later time; - discovery: a machine held up for 3 s ended the watch under the test; - engine: held up for 30 ms, a request went on without the counter before the client left; - upstream: the time-out was a real second, and the news that a server ended an idle connection was taken to be there at once; - ingress: a connection was taken to be idle once its answer was read.

The last led to a fault of the program: at the bound, with a request in hand on each connection, a new client waited until one ended (add in ingress.go), for to() told nobody that a connection became idle. So it might have waited for the two minutes that idle ones are kept. One connection goes for each that comes.

--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -29,6 +29,8 @@
 	checkEvery = 500 * time.Millisecond
 )
 
+var longAgo = time.Unix(1, 0)
+
 // Told receives what came of a call.
 type Told func(name string, outcome passhub.Outcome, total float64)
 
@@ -45,17 +47,18 @@
 // New returns a client that gives a call up after wait. It tells what came of each call once.
 func New(addr string, wait time.Duration, told Told, log *logrus.Logger) *Client {
 	c := newClient(addr, wait, told, log, laneCount)
+	for _, l := range c.lanes {
+		go l.run()
+	}
 	go c.look()
 	return c
 }
 
-// newClient leaves it to the caller to look after the lanes.
+// newClient leaves it to the caller to run the lanes and to look after them.
 func newClient(addr string, wait time.Duration, told Told, log *logrus.Logger, lanes int) *Client {
 	c := &Client{addr: addr, wait: wait, told: told, log: log, stop: make(chan struct{})}
 	for range lanes {
-		l := &lane{client: c}
-		c.lanes = append(c.lanes, l)
-		go l.run()
+		c.lanes = append(c.lanes, &lane{client: c})
 	}
 	return c
 }
@@ -174,7 +177,7 @@
 	switch {
 	case l.conn == nil:
 	case len(l.left) > 0 && now.Sub(l.left[0].at) > silentFor && now.Sub(l.heard) > silentFor:
-		l.conn.SetReadDeadline(now)
+		l.conn.SetReadDeadline(longAgo)
 	case len(l.left) == 0 && now.Sub(l.heard) > pingAfter:
 		l.out = append(l.out[:0], "*1\r\n$4\r\nPING\r\n"...)
 		l.write(&call{over: true, at: now})
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -29,6 +29,10 @@
 		}, log, 1)
 		defer c.Close()
 		l := c.lanes[0]
+		p.Hooks["run"] = func(string) string {
+			go l.run()
+			return ""
+		}
 		p.Hooks["up"] = func(string) string { // the lane has noticed its connection
 			for {
 				l.mu.Lock()
@@ -55,15 +59,10 @@
 			return ""
 		}
 		p.Hooks["told"] = func(string) string { return <-told }
-		p.Hooks["idle"] = func(string) string { // looked after when nothing has been heard for long
-			l.mu.Lock()
-			l.heard = l.heard.Add(-time.Hour)
-			for _, c := range l.left {
-				c.at = c.at.Add(-time.Hour)
-			}
-			l.mu.Unlock()
-			l.check(time.Now())
-			return ""
+		p.Hooks["check-later"] = func(later string) string {
+			d, _ := time.ParseDuration(later)
+			l.check(time.Now().Add(d))
+			return later
 		}
 		p.Play(script)
 	})
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -94,8 +95,10 @@
 	Tell      func(passhub.Backends)
 	Log       *logrus.Logger
 
-	rev    int64
-	listed bool // by discovery itself, in this life
+	answer  time.Duration // longest wait for an answer to begin, or for the list; 0: silentFor
+	silence time.Duration // longest wait for a line of the watch; 0: silentFor
+	rev     int64
+	listed  bool // by discovery itself, in this life
 }
 
 // Known takes the list that the ingress last had.
@@ -171,7 +174,7 @@
 	lines := bufio.NewScanner(body)
 	lines.Buffer(make([]byte, 0, 4096), mostLine)
 	for {
-		conn.SetReadDeadline(time.Now().Add(silentFor))
+		conn.SetReadDeadline(time.Now().Add(cmp.Or(w.silence, silentFor)))
 		if !lines.Scan() {
 			if err := lines.Err(); err != nil {
 				return fmt.Errorf("watch: %w", err)
@@ -189,7 +192,7 @@
 func (w *Watcher) get(conn net.Conn, r *http1.Reader, target string) (io.Reader, error) {
 	b := append([]byte("GET "), target...)
 	b = append(b, " HTTP/1.1\r\nHost: discovery\r\n\r\n"...)
-	conn.SetDeadline(time.Now().Add(silentFor))
+	conn.SetDeadline(time.Now().Add(cmp.Or(w.answer, silentFor)))
 	if _, err := conn.Write(b); err != nil {
 		return nil, err
 	}
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -20,7 +22,10 @@
 		log.SetOutput(io.Discard)
 		news := make(chan passhub.Backends, 10)
 		w := &Watcher{Addr: p.Addr("discovery"), Directory: &Directory{}, Log: log,
-			Tell: func(b passhub.Backends) { news <- b }}
+			Tell: func(b passhub.Backends) { news <- b }, answer: time.Minute, silence: time.Minute}
+		if strings.HasSuffix(script, "silent.txt") {
+			w.silence = time.Millisecond
+		}
 		w.Known(&List{Rev: 41, Targets: []Target{{UID: "s-1", Endpoint: "h:1", State: "active"}}})
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -23,8 +23,10 @@
 	}
 }
 
-func started(c Counter) *Engine {
-	e := New(passhub.New(settings(), 1), NewClock())
+func started(c Counter) *Engine { return startedWith(settings(), c) }
+
+func startedWith(s passhub.Settings, c Counter) *Engine {
+	e := New(passhub.New(s, 1), NewClock())
 	e.Start(c)
 	e.Backends(passhub.Backends{Complete: true, List: []passhub.Backend{{ID: "b", Serving: true, Size: 1}}})
 	return e
@@ -90,8 +92,9 @@
 
 // A client that leaves while its request waits for the counter leaves nothing to do; the late answer harms nobody.
 func TestLeaveWhileWaiting(t *testing.T) {
-	c := counter{make(chan string, 1)}
-	e := started(c)
+	c, patient := counter{make(chan string, 1)}, settings()
+	patient.CountWait = 20 // else the request is sent without the counter, should the test be held up
+	e := startedWith(patient, c)
 	ticket := e.Submit(request("read", "thin", 2), func() { t.Error("cancelled, but nothing was out") })
 	name := <-c.calls
 	ticket.Leave()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -37,7 +37,8 @@
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
-	room     sync.Cond // a connection has ended
+	room     sync.Cond // a connection has ended, or become idle while one waits for room
+	waiting  int       // accepted connections that wait for room
 	draining bool      // idle connections are closed, others after their answer
 	halt     context.Context
 	halted   context.CancelFunc
@@ -110,11 +111,16 @@
 	}
 }
 
-// add makes room first: the longest idle connection goes; where none is idle, it waits for an end.
+// add makes room first: the longest idle connection goes; where none is idle, it waits until one is
+// or one ends.
 func (s *Server) add(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for len(s.conns) >= s.most {
+	s.waiting++
+	for asked := false; len(s.conns) >= s.most; s.room.Wait() {
+		if asked {
+			continue // one connection goes for each that comes, not one more whenever another ends
+		}
 		var oldest *conn
 		for other := range s.conns {
 			if other.state == idle && other.code == "" && (oldest == nil || other.since.Before(oldest.since)) {
@@ -123,9 +129,10 @@
 		}
 		if oldest != nil {
 			oldest.end("client-room")
+			asked = true
 		}
-		s.room.Wait()
 	}
+	s.waiting--
 	s.conns[c] = struct{}{}
 	if s.draining {
 		c.end("client-drain") // accepted as the hand-over ended: the client asks elsewhere
@@ -156,6 +163,9 @@
 		}
 	}
 	c.state, c.since = st, time.Now()
+	if st == idle && s.waiting > 0 {
+		s.room.Broadcast()
+	}
 	return true
 }
 
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -39,6 +39,16 @@
 		defer l.Close()
 		go s.Serve(l)
 		p.Target = l.Addr().String()
+		until := func(is func() bool) func(string) string {
+			return func(string) string {
+				for there := false; !there; time.Sleep(time.Millisecond) {
+					s.mu.Lock()
+					there = is()
+					s.mu.Unlock()
+				}
+				return ""
+			}
+		}
 		p.Hooks["leave"] = func(string) string {
 			s.Leave()
 			return ""
@@ -49,31 +59,26 @@
 		}
 		p.Hooks["drain-begins"] = func(string) string {
 			go s.Drain(time.Minute, time.Minute)
-			for draining := false; !draining; time.Sleep(time.Millisecond) {
-				s.mu.Lock()
-				draining = s.draining
-				s.mu.Unlock()
-			}
-			return ""
+			return until(func() bool { return s.draining })("")
 		}
 		p.Hooks["sweep-later"] = func(later string) string {
 			d, _ := time.ParseDuration(later)
 			s.sweepAt(time.Now().Add(d))
 			return later
 		}
-		p.Hooks["reading"] = func(string) string { // a request has begun to come in
-			for {
-				s.mu.Lock()
+		one := func(st state) func() bool { // a connection is in that state
+			return func() bool {
 				for c := range s.conns {
-					if c.state == reading {
-						s.mu.Unlock()
-						return ""
+					if c.state == st {
+						return true
 					}
 				}
-				s.mu.Unlock()
-				time.Sleep(time.Millisecond)
+				return false
 			}
 		}
+		p.Hooks["idle"] = until(one(idle))
+		p.Hooks["reading"] = until(one(reading))
+		p.Hooks["waiting"] = until(func() bool { return s.waiting > 0 })
 		p.Hooks["open"] = func(string) string {
 			s.mu.Lock()
 			defer s.mu.Unlock()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -34,18 +34,32 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		results := make(chan Result, 1)
-		do := func(body string, wait time.Duration) {
-			m := &Message{Method: "POST", Target: "/api/0?q=1", ID: "7", Body: []byte(body)}
-			go func() { results <- pool.Do(ctx, "s-1", m, time.Now().Add(wait)) }()
+		dialed := make(chan net.Conn, 10)
+		dial := pool.dial
+		pool.dial = func(within context.Context, network, addr string) (net.Conn, error) {
+			nc, err := dial(within, network, addr)
+			dialed <- nc
+			return nc, err
 		}
 		p.Hooks["do"] = func(body string) string {
-			do(body, time.Minute)
+			m := &Message{Method: "POST", Target: "/api/0?q=1", ID: "7", Body: []byte(body)}
+			go func() { results <- pool.Do(ctx, "s-1", m, time.Now().Add(time.Minute)) }()
 			return body
 		}
-		p.Hooks["do-in-ms"] = func(ms string) string {
-			n, _ := strconv.Atoi(ms)
-			do("", time.Duration(n)*time.Millisecond)
-			return ms
+		p.Hooks["time-runs-out"] = func(string) string { // of the attempt on the oldest connection
+			(<-dialed).SetReadDeadline(longAgo)
+			return ""
+		}
+		p.Hooks["ended"] = func(string) string { // the news that the server ended the idle connection is here
+			for {
+				pool.mu.Lock()
+				code := pool.idle["s-1"][0].stale(addr)
+				pool.mu.Unlock()
+				if code != "" {
+					return code
+				}
+				time.Sleep(time.Millisecond)
+			}
 		}
 		p.Hooks["outcome"] = func(string) string {
 			r := <-results
