Wait in tests for what they build on, with one bounded wait for all hooks

Seen: under twelve busy loops on four cores the ingress test "slow" hung in 1 of 57 runs: its connection was gone before it was looked for. Ruled out by the same load: the other packages' tests, 33 to 234 runs each without a failure. The waiting loops of three test files are one, exchange.Until, which ends after the player's patience instead of hanging until the runner's.

--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -34,15 +34,11 @@
 			return ""
 		}
 		p.Hooks["up"] = func(string) string { // the lane has noticed its connection
-			for {
+			return exchange.Until(func() bool {
 				l.mu.Lock()
-				up := l.conn != nil
-				l.mu.Unlock()
-				if up {
-					return ""
-				}
-				time.Sleep(time.Millisecond)
-			}
+				defer l.mu.Unlock()
+				return l.conn != nil
+			})
 		}
 		p.Hooks["add"] = func(text string) string {
 			var name string
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -35,6 +35,17 @@
 // patience ends a test that hangs. No step's success depends on it.
 const patience = 20 * time.Second
 
+// Until waits until something is so, for hooks to return: nothing then, and a word that no script has
+// when it hangs.
+func Until(is func() bool) string {
+	for end := time.Now().Add(patience); !is(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			return "never"
+		}
+	}
+	return ""
+}
+
 // Player plays scripts.
 type Player struct {
 	Target string // address that clients connect to
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -41,12 +41,11 @@
 		p.Target = l.Addr().String()
 		until := func(is func() bool) func(string) string {
 			return func(string) string {
-				for there := false; !there; time.Sleep(time.Millisecond) {
+				return exchange.Until(func() bool {
 					s.mu.Lock()
-					there = is()
-					s.mu.Unlock()
-				}
-				return ""
+					defer s.mu.Unlock()
+					return is()
+				})
 			}
 		}
 		p.Hooks["leave"] = func(string) string {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -51,15 +51,11 @@
 			return ""
 		}
 		p.Hooks["ended"] = func(string) string { // the news that the server ended the idle connection is here
-			for {
+			return exchange.Until(func() bool {
 				pool.mu.Lock()
-				code := pool.idle["s-1"][0].stale(addr)
-				pool.mu.Unlock()
-				if code != "" {
-					return code
-				}
-				time.Sleep(time.Millisecond)
-			}
+				defer pool.mu.Unlock()
+				return pool.idle["s-1"][0].stale(addr) == "upstream-ended"
+			})
 		}
 		p.Hooks["outcome"] = func(string) string {
 			r := <-results
