--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,74 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"passhub"
+	"passhub/internal/discovery"
+)
+
+const file = `{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","counter":"127.0.0.1:3","seed":"ff","later":[],
+"limits":{"cores":1.5,"memory_mb":192,"sockets":1024},
+"known":{"rev":7,"all":true,"targets":[{"uid":"s","endpoint":"h:1","az":"a","model":"m","state":"leaving","capacity_hint":2,"boot_ms":1500}]},
+"settings":{"Balancers":3,"Me":1,"Classes":[{"Name":"c","Promise":1,"Deadline":3,"Gain":2,"Effect":"pure"}],
+"Packages":[{"Name":"p","Refill":4,"Burst":5,"Pays":1.2}],"FamilyInfo":{"MayCount":true,"CountWait":0.03}}}`
+
+// The file says it all; each variable wins over its key, and only over that.
+func TestLoad(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(file), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	want := func(change func(*Config)) *Config {
+		c := &Config{
+			Name: "n1", Listen: "127.0.0.1:1", Discovery: "127.0.0.1:2", Counter: "127.0.0.1:3", Seed: 255,
+			Limits: Limits{Cores: 1.5, MemoryMB: 192, Sockets: 1024},
+			Known: &discovery.List{Rev: 7, All: true, Targets: []discovery.Target{
+				{UID: "s", Endpoint: "h:1", Zone: "a", Model: "m", State: "leaving", Capacity: 2, BootMs: 1500}}},
+			Settings: passhub.Settings{
+				Balancers: 3, Me: 1, MayCount: true, CountWait: 0.03,
+				Classes: []passhub.Class{{Name: "c", Aim: 1, Deadline: 3, Worth: 2, Effect: passhub.Safe}},
+				Plans:   []passhub.Plan{{Name: "p", Rate: 4, Burst: 5, Price: 1.2}},
+			},
+		}
+		change(c)
+		return c
+	}
+	for _, tc := range []struct {
+		name string
+		env  map[string]string
+		want *Config
+	}{
+		{"the file alone", nil, want(func(*Config) {})},
+		{"name", map[string]string{"NODE_NAME": "n9"}, want(func(c *Config) { c.Name = "n9" })},
+		{"listen", map[string]string{"NODE_LISTEN": "127.0.0.9:1"}, want(func(c *Config) { c.Listen = "127.0.0.9:1" })},
+		{"discovery", map[string]string{"NODE_DISCOVERY": "127.0.0.9:2"}, want(func(c *Config) { c.Discovery = "127.0.0.9:2" })},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			got, err := Load(func(name string) string {
+				if name == "NODE_CONFIG" {
+					return path
+				}
+				return tc.env[name]
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// Without NODE_CONFIG the error says so, and not that some file is missing.
+func TestNoVariable(t *testing.T) {
+	_, err := Load(func(string) string { return "" })
+	if err == nil || err.Error() != "NODE_CONFIG is not set" {
+		t.Errorf("got %v", err)
+	}
+}
