Tell a counter call that was not written whole as refused, as the protocol has it

Seen by reading internal/counter against the protocol's table: a connection that breaks before a call's last byte is written has added nothing, but write() only closed it, and drop() then told the call as reset, which may have been added. The new script write-failed says "refused" and got "reset" before the change. Such writes are rare, and the module takes both for an unanswered call; it is the protocol's row that was wrong.

--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -109,6 +109,7 @@
 	client *Client
 	mu     sync.Mutex
 	conn   net.Conn // nil: none is up
+	cut    bool     // a write ended within a call: what came after it would be read as the rest
 	left   []*call
 	heard  time.Time
 	out    []byte
@@ -116,7 +117,7 @@
 
 func (l *lane) add(name string, amount float64, keep passhub.Seconds) {
 	l.mu.Lock()
-	if l.conn == nil || len(l.left) >= mostLeft {
+	if l.conn == nil || l.cut || len(l.left) >= mostLeft {
 		l.mu.Unlock()
 		l.client.told(name, passhub.Refused, 0)
 		return
@@ -124,17 +125,23 @@
 	c := &call{name: name, at: time.Now()}
 	c.timer = time.AfterFunc(l.client.wait, func() { l.giveUp(c) })
 	l.out = appendCall(l.out[:0], name, amount, keep)
-	l.write(c)
+	conn, err := l.conn, l.write(c)
+	c.over = err != nil
 	l.mu.Unlock()
+	if err != nil {
+		c.timer.Stop()
+		l.client.told(name, passhub.Refused, 0) // its last byte was not written: it is not added
+		conn.Close()                            // run notices, and tells those that were written
+	}
 }
 
-// write sends what is in out for a call. An error ends the connection, which run then notices.
-func (l *lane) write(c *call) {
+// write sends what is in out for a call. After an error the connection is of no more use.
+func (l *lane) write(c *call) error {
 	l.left = append(l.left, c)
 	l.conn.SetWriteDeadline(time.Now().Add(l.client.wait))
-	if _, err := l.conn.Write(l.out); err != nil {
-		l.conn.Close()
-	}
+	_, err := l.conn.Write(l.out)
+	l.cut = err != nil
+	return err
 }
 
 func (l *lane) giveUp(c *call) {
@@ -164,7 +171,7 @@
 			continue
 		}
 		l.mu.Lock()
-		l.conn, l.heard = conn, time.Now()
+		l.conn, l.cut, l.heard = conn, false, time.Now()
 		l.mu.Unlock()
 		l.drop("", l.read(conn))
 	}
@@ -175,12 +182,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case l.conn == nil:
+	case l.conn == nil || l.cut:
 	case len(l.left) > 0 && now.Sub(l.left[0].at) > silentFor && now.Sub(l.heard) > silentFor:
 		l.conn.SetReadDeadline(longAgo)
 	case len(l.left) == 0 && now.Sub(l.heard) > pingAfter:
 		l.out = append(l.out[:0], "*1\r\n$4\r\nPING\r\n"...)
-		l.write(&call{over: true, at: now})
+		if l.write(&call{over: true, at: now}) != nil {
+			l.conn.Close()
+		}
 	}
 }
 
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -40,6 +41,12 @@
 				return l.conn != nil
 			})
 		}
+		p.Hooks["cannot-write"] = func(string) string { // any write fails from now on, before its first byte
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			l.conn.(*net.TCPConn).CloseWrite()
+			return ""
+		}
 		p.Hooks["add"] = func(text string) string {
 			var name string
 			var amount, keep float64
