Do not blame a server for a write that the client's leaving cut short

Checked: the proof that nothing ran stays, as a quote server begins only with the last byte. Left as it was: a server that does not read until the attempt's time is over is still told as Refused.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -103,6 +103,10 @@
 	buffers.Put(buf)
 	if err != nil && !whole {
 		stop()
+		if ctx.Err() != nil { // the client left: nothing ran, and the server is not to blame
+			p.close(c, "upstream-not-needed", err)
+			return Result{Outcome: passhub.Skipped}
+		}
 		p.close(c, "upstream-write-failed", err)
 		return Result{Outcome: passhub.Refused}
 	}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -149,3 +149,46 @@
 		})
 	}
 }
+
+// Nor does a write that ends because the client left. Small buffers keep the request from fitting in.
+func TestLeftDuringWrite(t *testing.T) {
+	small := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 1) })
+	}}
+	l, err := small.Listen(context.Background(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	pool := New(func(string) (string, bool) { return l.Addr().String(), true },
+		Limits{Connections: 1, ConnectTimeout: time.Minute}, log)
+	dial := pool.dial
+	pool.dial = func(within context.Context, network, addr string) (net.Conn, error) {
+		nc, err := dial(within, network, addr)
+		if err == nil {
+			err = nc.(*net.TCPConn).SetWriteBuffer(1)
+		}
+		return nc, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	result := make(chan Result)
+	go func() {
+		m := &Message{Method: "POST", Target: "/", ID: "1", Body: make([]byte, 64<<10)}
+		result <- pool.Do(ctx, "s-1", m, time.Now().Add(time.Minute))
+	}()
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.ReadFull(c, make([]byte, 1)); err != nil { // the write has begun
+		t.Fatal(err)
+	}
+	cancel()
+	if diff := cmp.Diff(Result{Outcome: passhub.Skipped}, <-result); diff != "" || pool.open != 0 {
+		t.Errorf("%d connections counted as open\n%s", pool.open, diff)
+	}
+}
