Move to the new discovery and counter addresses on SIGHUP

Wrong lines: cmd/mulleinrouter/main.go caught SIGTERM and SIGINT only; discovery.Watcher and counter.Client had one address for life. Ruled out: NODE_DISCOVERY, which is as old as the process, must not win over the file on a reload, or discovery would stay at the old address.

Now the file is read again; the watch starts anew at the new address while the last list stays, and each lane of the counter changes over once its connection there is up. What is out on the old one is waited for there; a name called anew is given up there first, for two connections keep no order. An unusable file is one line, process-reload-failed, and changes nothing.

With it: an answer of the counter without a number (+OK to a call, NaN, an infinity, a length that does not fit) was told as a total of 0 or of infinity; it now ends the connection, and its call counts as one that may have been added. An answer line without end is bounded.

--- a/cmd/mulleinrouter/main.go
+++ b/cmd/mulleinrouter/main.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -54,6 +55,8 @@
 	// Signals count from the first moment: a restart may be planned before this one is up.
 	term := make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, syscall.SIGINT)
+	hup := make(chan os.Signal, 1) // one that comes while another is carried out reads the newest file anyway
+	signal.Notify(hup, syscall.SIGHUP)
 
 	c, err := config.Load(os.Getenv)
 	if err != nil {
@@ -75,13 +78,14 @@
 	defer cancel()
 
 	eng := engine.New(passhub.New(c.Settings, c.Seed), engine.NewClock())
-	var count engine.Counter
+	var count *counter.Client
 	if c.Counter != "" {
-		client := counter.New(c.Counter, seconds(c.Settings.CountWait), eng.Counted, logger)
-		defer client.Close()
-		count = client
+		count = counter.New(c.Counter, seconds(c.Settings.CountWait), eng.Counted, logger)
+		defer count.Close()
+		eng.Start(count)
+	} else {
+		eng.Start(nil)
 	}
-	eng.Start(count)
 
 	directory := &discovery.Directory{}
 	watcher := &discovery.Watcher{Addr: c.Discovery, Directory: directory, Tell: eng.Backends, Log: logger}
@@ -89,6 +93,7 @@
 		watcher.Known(c.Known)
 	}
 	go watcher.Run(ctx)
+	go reload(hup, watcher, count, logger)
 
 	pool := upstream.New(directory.Lookup, upstream.Limits{
 		Connections:    int(upstreamShare * float64(c.Limits.Sockets)),
@@ -113,6 +118,26 @@
 	return nil
 }
 
+// reload moves to the addresses that the configuration names whenever SIGHUP comes. The rest of the file
+// holds from the next start on.
+func reload(hup <-chan os.Signal, watcher *discovery.Watcher, count *counter.Client, logger *logrus.Logger) {
+	for range hup {
+		c, err := config.Reload(os.Getenv)
+		if err == nil && count != nil && c.Counter == "" {
+			err = errors.New("counter: no address")
+		}
+		if err != nil {
+			logger.WithField("code", "process-reload-failed").WithError(err).Error("the configuration stays as it was")
+			continue
+		}
+		watcher.Move(c.Discovery)
+		if count != nil {
+			count.Move(c.Counter)
+		}
+		logger.WithFields(logrus.Fields{"code": "process-reloaded", "discovery": c.Discovery, "counter": c.Counter}).Info("configuration read again")
+	}
+}
+
 // tune fits the run time to the machine's limits, and fills in those that were not told.
 func tune(l *config.Limits) {
 	if l.Sockets == 0 {
--- a/cmd/mulleinrouter/main_test.go
+++ b/cmd/mulleinrouter/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -51,7 +52,7 @@
 
 // start runs the program beside a quote server, discovery and a counter that the script plays.
 func start(t *testing.T) *exchange.Player {
-	p := exchange.New(t, "server", "discovery", "counter")
+	p := exchange.New(t, "server", "discovery", "counter", "discovery2", "counter2")
 	path := filepath.Join(t.TempDir(), "config.json")
 	text := fmt.Sprintf(configuration, p.Addr("discovery"), p.Addr("counter"), p.Addr("server"))
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
@@ -108,6 +109,20 @@
 		}
 		return words
 	}
+	p.Hooks["config"] = func(word string) string { // replaces the file as operators do, whole
+		text := word
+		if text == "moved" {
+			text = fmt.Sprintf(configuration, p.Addr("discovery2"), p.Addr("counter2"), p.Addr("server"))
+		}
+		if err := errors.Join(os.WriteFile(path+".new", []byte(text), 0o600), os.Rename(path+".new", path)); err != nil {
+			return err.Error()
+		}
+		return word
+	}
+	p.Hooks["hup"] = func(string) string {
+		cmd.Process.Signal(syscall.SIGHUP)
+		return ""
+	}
 	p.Hooks["term"] = func(string) string {
 		cmd.Process.Signal(syscall.SIGTERM)
 		return ""
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,7 +32,13 @@
 }
 
 // Load reads the file that NODE_CONFIG names. The other variables win over what the file says.
-func Load(getenv func(string) string) (*Config, error) {
+func Load(getenv func(string) string) (*Config, error) { return load(getenv, false) }
+
+// Reload reads the file again. Its word is newer than the variables, which are as old as the process: they
+// only fill in what it leaves out.
+func Reload(getenv func(string) string) (*Config, error) { return load(getenv, true) }
+
+func load(getenv func(string) string, fileFirst bool) (*Config, error) {
 	path := getenv("NODE_CONFIG")
 	if path == "" {
 		return nil, errors.New("NODE_CONFIG is not set")
@@ -41,14 +47,14 @@
 	if err != nil {
 		return nil, fmt.Errorf("NODE_CONFIG: %w", err)
 	}
-	c, err := parse(raw, getenv)
+	c, err := parse(raw, getenv, fileFirst)
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	return c, nil
 }
 
-func parse(raw []byte, getenv func(string) string) (*Config, error) {
+func parse(raw []byte, getenv func(string) string, fileFirst bool) (*Config, error) {
 	var file struct {
 		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
@@ -69,7 +75,7 @@
 	for name, value := range map[string]*string{
 		"NODE_NAME": &c.Name, "NODE_LISTEN": &c.Listen, "NODE_DISCOVERY": &c.Discovery,
 	} {
-		if v := getenv(name); v != "" {
+		if v := getenv(name); v != "" && (*value == "" || !fileFirst) {
 			*value = v
 		}
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -65,6 +66,22 @@
 	}
 }
 
+// Read again, the file wins, for it is newer than the variables. They fill in what it leaves out.
+func TestReload(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(strings.Replace(file, `"listen":"127.0.0.1:1",`, "", 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	env := map[string]string{"NODE_CONFIG": path, "NODE_LISTEN": "127.0.0.9:1", "NODE_DISCOVERY": "127.0.0.9:2"}
+	c, err := Reload(func(name string) string { return env[name] })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]string{"127.0.0.9:1", "127.0.0.1:2"}, []string{c.Listen, c.Discovery}); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // Without NODE_CONFIG the error says so, and not that some file is missing.
 func TestNoVariable(t *testing.T) {
 	_, err := Load(func(string) string { return "" })
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -4,13 +4,15 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"fmt"
 	"hash/fnv"
 	"io"
 	"net"
-	"net/textproto"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -27,6 +29,7 @@
 	pingAfter  = 2 * time.Second        // idle connections are closed by the counter after 10 s or less
 	silentFor  = time.Second            // a machine that vanished leaves connections open and silent
 	checkEvery = 500 * time.Millisecond
+	mostDigits = 64 // of a total
 )
 
 var longAgo = time.Unix(1, 0)
@@ -34,14 +37,17 @@
 // Told receives what came of a call.
 type Told func(name string, outcome passhub.Outcome, total float64)
 
-// Client calls the counter at one address.
+// Client calls the counter, at one address at a time.
 type Client struct {
-	addr  string
 	wait  time.Duration
 	told  Told
 	log   *logrus.Logger
 	lanes []*lane
 	stop  chan struct{}
+
+	mu    sync.Mutex
+	addr  string
+	moved chan struct{} // closed when addr is no longer the address
 }
 
 // New returns a client that gives a call up after wait. It tells what came of each call once.
@@ -56,13 +62,30 @@
 
 // newClient leaves it to the caller to run the lanes and to look after them.
 func newClient(addr string, wait time.Duration, told Told, log *logrus.Logger, lanes int) *Client {
-	c := &Client{addr: addr, wait: wait, told: told, log: log, stop: make(chan struct{})}
+	c := &Client{addr: addr, moved: make(chan struct{}), wait: wait, told: told, log: log, stop: make(chan struct{})}
 	for range lanes {
 		c.lanes = append(c.lanes, &lane{client: c})
 	}
 	return c
 }
 
+// Move has the counter called at another address from now on. Each lane changes over once its connection
+// there is up; what is out on the old one is still waited for there.
+func (c *Client) Move(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if addr != c.addr {
+		close(c.moved)
+		c.addr, c.moved = addr, make(chan struct{})
+	}
+}
+
+func (c *Client) address() (addr string, moved <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.addr, c.moved
+}
+
 // look looks after the lanes until the client is closed.
 func (c *Client) look() {
 	ticker := time.NewTicker(checkEvery)
@@ -79,45 +102,78 @@
 	}
 }
 
-// Close ends the connections. Calls that are out stay unanswered.
+// Close ends the connections. Calls that are out are told as may have been added.
 func (c *Client) Close() {
 	close(c.stop)
 	for _, l := range c.lanes {
-		l.drop("counter-closed", nil)
+		l.mu.Lock()
+		for _, k := range l.links {
+			k.end("counter-closed")
+		}
+		l.mu.Unlock()
 	}
 }
 
 // Add calls the counter and does not wait for the answer. All calls for a name travel on one
-// connection: answers for it come in the order of the calls.
+// lane: answers for it come in the order of the calls.
 func (c *Client) Add(name string, amount float64, keep passhub.Seconds) {
 	h := fnv.New32a()
 	io.WriteString(h, name)
 	c.lanes[h.Sum32()%uint32(len(c.lanes))].add(name, amount, keep)
 }
 
-// call is one that waits for its answer. Its place in the lane stays taken after it has been given
-// up, for its answer may still come and must not pass for that of the next one.
+// call is one that waits for its answer. Its place stays taken after it has been given up, for its
+// answer may still come and must not pass for that of the next one.
 type call struct {
-	name  string
-	over  bool // told, or given up
+	name  string // empty: a ping
+	over  bool   // told, or given up
 	at    time.Time
 	timer *time.Timer
 }
 
-// lane is one connection and the calls on it, in order.
+// link is one connection and the calls on it, in order. The lane's mutex guards it.
+type link struct {
+	conn    net.Conn
+	cut     bool // a write ended within a call: what came after it would be read as the rest
+	left    []*call
+	heard   time.Time
+	retired time.Time // since when calls go elsewhere; zero: they come here
+	code    string    // why it was ended from here
+}
+
+func (k *link) end(code string) {
+	k.code = cmp.Or(k.code, code)
+	k.conn.SetReadDeadline(longAgo)
+}
+
+// lane has one connection in use. Where the counter has moved, the ones before it stay until the calls
+// on them are answered.
 type lane struct {
 	client *Client
 	mu     sync.Mutex
-	conn   net.Conn // nil: none is up
-	cut    bool     // a write ended within a call: what came after it would be read as the rest
-	left   []*call
-	heard  time.Time
+	links  []*link // the last is in use, unless it is retired
 	out    []byte
 }
 
+// use is the link that takes new calls, nil where none does.
+func (l *lane) use() *link {
+	if n := len(l.links); n > 0 && !l.links[n-1].cut && l.links[n-1].retired.IsZero() {
+		return l.links[n-1]
+	}
+	return nil
+}
+
 func (l *lane) add(name string, amount float64, keep passhub.Seconds) {
 	l.mu.Lock()
-	if l.conn == nil || l.cut || len(l.left) >= mostLeft {
+	// What is out for this name at the old address is not waited for any longer: two connections keep
+	// no order, and its answer would pass for this one's.
+	for l.takeOver(name) {
+		l.mu.Unlock()
+		l.client.told(name, passhub.Reset, 0)
+		l.mu.Lock()
+	}
+	k := l.use()
+	if k == nil || len(k.left) >= mostLeft {
 		l.mu.Unlock()
 		l.client.told(name, passhub.Refused, 0)
 		return
@@ -125,22 +181,39 @@
 	c := &call{name: name, at: time.Now()}
 	c.timer = time.AfterFunc(l.client.wait, func() { l.giveUp(c) })
 	l.out = appendCall(l.out[:0], name, amount, keep)
-	conn, err := l.conn, l.write(c)
+	err := l.write(k, c)
 	c.over = err != nil
 	l.mu.Unlock()
 	if err != nil {
 		c.timer.Stop()
 		l.client.told(name, passhub.Refused, 0) // its last byte was not written: it is not added
-		conn.Close()                            // run notices, and tells those that were written
+		k.conn.Close()                          // its reader notices, and tells those that were written
 	}
 }
 
+// takeOver gives up the oldest call for a name on a retired link, if there is one.
+func (l *lane) takeOver(name string) bool {
+	for _, k := range l.links {
+		if k.retired.IsZero() {
+			continue
+		}
+		for _, c := range k.left {
+			if !c.over && c.name == name {
+				c.over = true
+				c.timer.Stop()
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // write sends what is in out for a call. After an error the connection is of no more use.
-func (l *lane) write(c *call) error {
-	l.left = append(l.left, c)
-	l.conn.SetWriteDeadline(time.Now().Add(l.client.wait))
-	_, err := l.conn.Write(l.out)
-	l.cut = err != nil
+func (l *lane) write(k *link, c *call) error {
+	k.left = append(k.left, c)
+	k.conn.SetWriteDeadline(time.Now().Add(l.client.wait))
+	_, err := k.conn.Write(l.out)
+	k.cut = err != nil
 	return err
 }
 
@@ -154,68 +227,92 @@
 	}
 }
 
-// run keeps one connection up.
+// run keeps one connection up, at the address of the moment.
 func (l *lane) run() {
 	for {
+		addr, moved := l.client.address()
+		conn, err := net.DialTimeout("tcp", addr, connectFor)
+		ended := make(chan struct{})
+		if err != nil {
+			time.AfterFunc(againAfter, func() { close(ended) })
+		} else {
+			k := l.take(conn)
+			go func() {
+				l.drop(k, l.read(k))
+				close(ended)
+			}()
+		}
 		select {
 		case <-l.client.stop:
 			return
-		default:
+		case <-ended:
+		case <-moved: // the next one comes up beside it
 		}
-		conn, err := net.DialTimeout("tcp", l.client.addr, connectFor)
-		if err != nil {
-			select {
-			case <-l.client.stop:
-			case <-time.After(againAfter):
+	}
+}
+
+// take uses a new connection, and retires the one before it.
+func (l *lane) take(conn net.Conn) *link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k := &link{conn: conn, heard: time.Now()}
+	for _, old := range l.links {
+		if old.retired.IsZero() {
+			old.retired = time.Now()
+			if len(old.left) == 0 {
+				old.end("counter-moved")
 			}
-			continue
 		}
-		l.mu.Lock()
-		l.conn, l.cut, l.heard = conn, false, time.Now()
-		l.mu.Unlock()
-		l.drop("", l.read(conn))
 	}
+	l.links = append(l.links, k)
+	select {
+	case <-l.client.stop: // closed meanwhile
+		k.end("counter-closed")
+	default:
+	}
+	return k
 }
 
 // check keeps an idle connection from being closed, and ends a silent one.
 func (l *lane) check(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	switch {
-	case l.conn == nil || l.cut:
-	case len(l.left) > 0 && now.Sub(l.left[0].at) > silentFor && now.Sub(l.heard) > silentFor:
-		l.conn.SetReadDeadline(longAgo)
-	case len(l.left) == 0 && now.Sub(l.heard) > pingAfter:
-		l.out = append(l.out[:0], "*1\r\n$4\r\nPING\r\n"...)
-		if l.write(&call{over: true, at: now}) != nil {
-			l.conn.Close()
+	for _, k := range l.links {
+		switch {
+		case k.cut:
+		case !k.retired.IsZero():
+			if now.Sub(k.retired) > silentFor {
+				k.end("counter-moved")
+			}
+		case len(k.left) > 0 && now.Sub(k.left[0].at) > silentFor && now.Sub(k.heard) > silentFor:
+			k.end("counter-silent")
+		case len(k.left) == 0 && now.Sub(k.heard) > pingAfter:
+			l.out = append(l.out[:0], "*1\r\n$4\r\nPING\r\n"...)
+			if l.write(k, &call{over: true, at: now}) != nil {
+				k.conn.Close()
+			}
 		}
 	}
 }
 
-// drop ends the connection and tells the calls on it that they may have been added.
-func (l *lane) drop(code string, err error) {
+// drop forgets a connection that has ended and tells the calls on it that they may have been added.
+func (l *lane) drop(k *link, err error) {
+	k.conn.Close()
 	l.mu.Lock()
-	conn, left := l.conn, l.left
-	l.conn, l.left = nil, nil
-	lost := left[:0]
-	for _, c := range left {
+	l.links = slices.DeleteFunc(l.links, func(other *link) bool { return other == k })
+	lost := k.left[:0]
+	for _, c := range k.left {
 		if !c.over {
 			c.over = true
 			c.timer.Stop()
 			lost = append(lost, c)
 		}
 	}
+	k.left = nil
+	code := k.code
 	l.mu.Unlock()
-	if conn == nil {
-		return
-	}
-	conn.Close()
-	var timeout net.Error
 	switch {
 	case code != "":
-	case errors.As(err, &timeout) && timeout.Timeout():
-		code = "counter-silent"
 	case errors.Is(err, io.EOF):
 		code = "counter-ended"
 	case errors.Is(err, errAnswer):
@@ -232,75 +329,92 @@
 var errAnswer = errors.New("not an answer of the counter")
 
 // read takes the answers, in the order of the calls, until the connection ends.
-func (l *lane) read(conn net.Conn) error {
-	r := textproto.NewReader(bufio.NewReaderSize(conn, 1024))
+func (l *lane) read(k *link) error {
+	r := bufio.NewReaderSize(k.conn, 1024)
 	for {
-		outcome, total, err := readAnswer(r)
+		a, err := readAnswer(r)
 		if err != nil {
 			return err
 		}
 		l.mu.Lock()
-		if len(l.left) == 0 {
+		if len(k.left) == 0 {
 			l.mu.Unlock()
 			return fmt.Errorf("%w: one too many", errAnswer)
 		}
-		c := l.left[0]
-		l.left[0] = nil
-		l.left = l.left[1:]
-		l.heard = time.Now()
+		c := k.left[0]
+		if (c.name == "") != a.pong { // drop tells it as the others: it was added, but the total is not known
+			l.mu.Unlock()
+			return fmt.Errorf("%w: of this call", errAnswer)
+		}
+		k.left[0] = nil
+		k.left = k.left[1:]
+		k.heard = time.Now()
 		over := c.over
 		c.over = true
+		if len(k.left) == 0 && !k.retired.IsZero() {
+			k.end("counter-moved")
+		}
 		l.mu.Unlock()
 		if !over {
 			c.timer.Stop()
-			l.client.told(c.name, outcome, total)
+			l.client.told(c.name, a.outcome, a.total)
 		}
 	}
 }
 
-// readAnswer reads one answer: a bulk string with the total, or a line that says what else came of it.
-func readAnswer(r *textproto.Reader) (outcome passhub.Outcome, total float64, err error) {
-	line, err := r.ReadLine()
+// answer is one of the counter's.
+type answer struct {
+	pong    bool // to a ping: no answer to a call
+	outcome passhub.Outcome
+	total   float64
+}
+
+// readAnswer reads one answer: a bulk string with the total, or a line that says what else came of it. What
+// has no number in it, where there should be one, is no answer: the total is not 0, it is unknown.
+func readAnswer(r *bufio.Reader) (a answer, err error) {
+	line, err := readLine(r)
 	if err != nil {
-		return 0, 0, err
+		return a, err
 	}
-	if line == "" {
-		return 0, 0, fmt.Errorf("%w: empty line", errAnswer)
-	}
-	switch word := line[1:]; line[0] {
-	case '+':
-		return passhub.Done, 0, nil
-	case '-':
-		if len(word) >= 4 && word[:4] == "BUSY" {
-			return passhub.Busy, 0, nil
+	number := line[min(1, len(line)):]
+	switch {
+	case line == "+PONG":
+		return answer{pong: true}, nil
+	case strings.HasPrefix(line, "-BUSY"):
+		return answer{outcome: passhub.Busy}, nil
+	case strings.HasPrefix(line, "-"):
+		return answer{outcome: passhub.Failed}, nil
+	case strings.HasPrefix(line, "$"):
+		n, err := strconv.Atoi(number)
+		if err != nil || n < 1 || n > mostDigits {
+			return a, fmt.Errorf("%w: %.20q", errAnswer, line) // what follows cannot be told apart
 		}
-		return passhub.Failed, 0, nil
-	case ':':
-		total, err = strconv.ParseFloat(word, 64)
-	case '$':
-		if word != "-1" {
-			var n int
-			if n, err = strconv.Atoi(word); err != nil || n < 1 || n > 64 {
-				err = errAnswer // a length that no number has: what follows cannot be told apart
-				break
-			}
-			if line, err = r.ReadLine(); err != nil {
-				return 0, 0, err
-			}
-			if len(line) != n {
-				return 0, 0, fmt.Errorf("%w: length %d of %.20q", errAnswer, n, line)
-			}
-			total, err = strconv.ParseFloat(line, 64)
-			break
+		if number, err = readLine(r); err != nil {
+			return a, err
 		}
-		return passhub.Failed, 0, nil
-	default:
-		err = errAnswer
+		if len(number) != n {
+			return a, fmt.Errorf("%w: length %d of %.20q", errAnswer, n, number)
+		}
+	case !strings.HasPrefix(line, ":"):
+		return a, fmt.Errorf("%w: %.20q", errAnswer, line)
+	}
+	total, err := strconv.ParseFloat(number, 64)
+	if err != nil || strings.Trim(number, "0123456789.eE+-") != "" { // infinities and their like
+		return a, fmt.Errorf("%w: %.20q", errAnswer, number)
+	}
+	return answer{outcome: passhub.Done, total: total}, nil
+}
+
+// readLine reads a line. One longer than the buffer is none of the counter's: it may never end.
+func readLine(r *bufio.Reader) (string, error) {
+	line, err := r.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		return "", fmt.Errorf("%w: line without end", errAnswer)
 	}
 	if err != nil {
-		return 0, 0, fmt.Errorf("%w: %.20q", errAnswer, line)
+		return "", err
 	}
-	return passhub.Done, total, nil
+	return strings.TrimRight(string(line), "\r\n"), nil
 }
 
 func appendCall(b []byte, name string, amount float64, keep passhub.Seconds) []byte {
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -21,7 +21,7 @@
 // TestExchanges plays one lane's calls and answers.
 func TestExchanges(t *testing.T) {
 	exchange.Each(t, "testdata/*.txt", func(t *testing.T, script string) {
-		p := exchange.New(t, "counter")
+		p := exchange.New(t, "counter", "other")
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		told := make(chan string, 10)
@@ -38,13 +38,13 @@
 			return exchange.Until(func() bool {
 				l.mu.Lock()
 				defer l.mu.Unlock()
-				return l.conn != nil
+				return l.use() != nil
 			})
 		}
 		p.Hooks["cannot-write"] = func(string) string { // any write fails from now on, before its first byte
 			l.mu.Lock()
 			defer l.mu.Unlock()
-			l.conn.(*net.TCPConn).CloseWrite()
+			l.use().conn.(*net.TCPConn).CloseWrite()
 			return ""
 		}
 		p.Hooks["add"] = func(text string) string {
@@ -56,11 +56,23 @@
 		}
 		p.Hooks["give-up"] = func(string) string { // as the timer of the oldest call does
 			l.mu.Lock()
-			oldest := l.left[0]
+			oldest := l.links[0].left[0]
 			l.mu.Unlock()
 			l.giveUp(oldest)
 			return ""
 		}
+		p.Hooks["move"] = func(string) string {
+			c.Move(p.Addr("other"))
+			return ""
+		}
+		p.Hooks["moved"] = func(string) string { // new calls go to the new connection
+			return exchange.Until(func() bool {
+				l.mu.Lock()
+				defer l.mu.Unlock()
+				k := l.use()
+				return k != nil && k.conn.RemoteAddr().String() == p.Addr("other")
+			})
+		}
 		p.Hooks["told"] = func(string) string { return <-told }
 		p.Hooks["check-later"] = func(later string) string {
 			d, _ := time.ParseDuration(later)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -98,7 +98,33 @@
 	answer  time.Duration // longest wait for an answer to begin, or for the list; 0: silentFor
 	silence time.Duration // longest wait for a line of the watch; 0: silentFor
 	rev     int64
-	listed  bool // by discovery itself, in this life
+	listed  bool // by discovery itself, at this address
+
+	mu    sync.Mutex
+	moved string // address to go on at; empty: no other
+	leave func() // ends the connection that is in use; nil: none is
+}
+
+// Move has the list followed at another address from now on. The last list stays until that one tells its own.
+func (w *Watcher) Move(addr string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.moved = addr
+	if w.leave != nil {
+		w.leave()
+	}
+}
+
+// begin settles the address of the next connection. The context ends with a move.
+func (w *Watcher) begin(ctx context.Context) (within context.Context, end func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.moved != "" && w.moved != w.Addr {
+		w.Addr, w.listed = w.moved, false // its versions may be others
+	}
+	w.moved = ""
+	within, w.leave = context.WithCancel(ctx)
+	return within, w.leave
 }
 
 // Known takes the list that the ingress last had.
@@ -112,15 +138,22 @@
 // Run follows the list until the context ends. While discovery is silent the last list stays.
 func (w *Watcher) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := w.follow(ctx)
+		within, end := w.begin(ctx)
+		err := w.follow(within)
 		if ctx.Err() != nil {
+			end()
 			return
 		}
-		w.Log.WithFields(logrus.Fields{"code": code(err), "rev": w.rev}).WithError(err).Info("discovery connection ended")
+		reason := code(err)
+		if within.Err() != nil {
+			reason = "discovery-moved"
+		}
+		w.Log.WithFields(logrus.Fields{"code": reason, "rev": w.rev}).WithError(err).Info("discovery connection ended")
 		select {
-		case <-ctx.Done():
+		case <-within.Done(): // moved: at once
 		case <-time.After(againAfter):
 		}
+		end()
 	}
 }
 
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -17,7 +17,7 @@
 // TestExchanges plays discovery's side: what the module is told, and what the directory then says.
 func TestExchanges(t *testing.T) {
 	exchange.Each(t, "testdata/*.txt", func(t *testing.T, script string) {
-		p := exchange.New(t, "discovery")
+		p := exchange.New(t, "discovery", "other")
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		news := make(chan passhub.Backends, 10)
@@ -39,6 +39,10 @@
 			}
 			return text
 		}
+		p.Hooks["move"] = func(string) string {
+			w.Move(p.Addr("other"))
+			return ""
+		}
 		p.Hooks["s-1"] = lookup(w, "s-1")
 		p.Hooks["s-2"] = lookup(w, "s-2")
 		p.Play(script)
