Close silent and idle client connections after two seconds, and refuse a stolen id

Wrong lines, internal/ingress/ingress.go: idleMost of two minutes, stuckMost of 10 s for a request to come in, and add, which closed the longest idle connection, a served client's, before the silent ones of a flood. request.go let units up to a million and any first pass, at a usual customer's cost, and nothing refused an id that is in hand. Ruled out: CPU (1.1 s of 25 at most) and memory (20 of 64 MB).

Now an idle connection ends after 2 s, a silent one 2 s after connecting, a slow request is answered 408; for want of room the refused, the silent and the slow go first. Units and sets beyond the settings are a 400, an id in hand is a 409.

--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -343,7 +343,7 @@
 func Visible(s string) bool { return visible(s) }
 
 var reasons = map[int]string{
-	200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+	200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict",
 	413: "Content Too Large", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
 	502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -3,6 +3,7 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -19,10 +20,13 @@
 )
 
 const (
-	sweepEvery  = time.Second
-	idleMost    = 2 * time.Minute       // a client that keeps a connection longer has forgotten it
-	acceptPause = 10 * time.Millisecond // guards against spinning on an error that stays
-	stuckMost   = 10 * time.Second      // a client that takes longer over a message holds the connection for nothing
+	sweepEvery  = 250 * time.Millisecond
+	idleMost    = 2 * time.Second        // clients may count on no more: many ask once and keep the connection
+	requestMost = 2 * time.Second        // for a request to come in, the first one from the connection's beginning
+	wholeSoon   = 100 * time.Millisecond // a client that means it sends a request whole at once
+	acceptPause = 10 * time.Millisecond  // guards against spinning on an error that stays
+	stuckMost   = 10 * time.Second       // a client that takes longer over an answer holds the connection for nothing
+	lingerMost  = time.Second            // for a client to read why it is refused
 )
 
 // Server serves the clients of one ingress.
@@ -33,13 +37,15 @@
 	methods   map[string]string // by class
 	plans     map[string]bool
 	ingresses int
+	mostUnits float64
 	most      int // connections at once
 
 	mu       sync.Mutex
 	conns    map[*conn]struct{}
-	room     sync.Cond // a connection has ended, or become idle while one waits for room
-	waiting  int       // accepted connections that wait for room
-	draining bool      // idle connections are closed, others after their answer
+	ids      map[string]struct{} // of the requests in hand
+	room     sync.Cond           // a connection has ended, or become idle while one waits for room
+	waiting  int                 // accepted connections that wait for room
+	draining bool                // idle connections are closed, others after their answer
 	halt     context.Context
 	halted   context.CancelFunc
 	leaving  bool // readiness: a SIGTERM has come
@@ -49,7 +55,8 @@
 func New(s *passhub.Settings, e *engine.Engine, p *upstream.Pool, most int, log *logrus.Logger) *Server {
 	srv := &Server{
 		engine: e, pool: p, log: log, methods: map[string]string{}, plans: map[string]bool{},
-		ingresses: max(1, s.Balancers), most: most, conns: map[*conn]struct{}{},
+		ingresses: max(1, s.Balancers), mostUnits: cmp.Or(s.MaxUnits, mostUnits), most: most,
+		conns: map[*conn]struct{}{}, ids: map[string]struct{}{},
 	}
 	srv.room.L = &srv.mu
 	srv.halt, srv.halted = context.WithCancel(context.Background())
@@ -73,6 +80,7 @@
 	reading              // a request has begun to come in
 	busy                 // a request is in the engine's hands
 	writing              // an answer goes out
+	closing              // the last answer has gone out; it is to be read before the connection ends
 )
 
 // conn is one client's connection.
@@ -86,8 +94,9 @@
 
 	// Guarded by the server's mutex.
 	state state
-	since time.Time
-	code  string // why it was ended from outside
+	since time.Time // in that state; until a first request is whole, since the beginning
+	fresh bool      // no request has come in whole
+	code  string    // why it was ended from outside
 }
 
 // Serve accepts connections until the listener closes.
@@ -104,15 +113,15 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		c := &conn{Conn: nc, server: s, reader: http1.NewReader(nc), since: time.Now(),
+		c := &conn{Conn: nc, server: s, reader: http1.NewReader(nc), since: time.Now(), fresh: true,
 			watch: make(chan *engine.Ticket), arrived: make(chan error, 1)}
 		s.add(c)
 		go c.run()
 	}
 }
 
-// add makes room first: the longest idle connection goes; where none is idle, it waits until one is
-// or one ends.
+// add makes room first: the connection that holds its place for the least goes. Where each has a request
+// in hand, it waits until one is idle or ends.
 func (s *Server) add(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -121,14 +130,8 @@
 		if asked {
 			continue // one connection goes for each that comes, not one more whenever another ends
 		}
-		var oldest *conn
-		for other := range s.conns {
-			if other.state == idle && other.code == "" && (oldest == nil || other.since.Before(oldest.since)) {
-				oldest = other
-			}
-		}
-		if oldest != nil {
-			oldest.end("client-room")
+		if other := s.spare(time.Now()); other != nil {
+			other.end("client-room")
 			asked = true
 		}
 	}
@@ -139,10 +142,32 @@
 	}
 }
 
+// spare is the connection to close for want of room, nil where there is none. Those that have not asked
+// anything yet, or ask slowly, or are refused, go before the idle ones of clients that are served: a flood
+// of silent connections must crowd out itself.
+func (s *Server) spare(now time.Time) (spare *conn) {
+	useless := func(c *conn) bool {
+		return c.state == closing || c.fresh && (c.state == idle || c.state == reading && now.Sub(c.since) > wholeSoon)
+	}
+	for c := range s.conns {
+		if c.code != "" || !useless(c) && c.state != idle {
+			continue
+		}
+		if spare == nil || useless(c) && !useless(spare) ||
+			useless(c) == useless(spare) && c.since.Before(spare.since) {
+			spare = c
+		}
+	}
+	return spare
+}
+
 // end closes a connection from outside, the server's mutex held.
 func (c *conn) end(code string) {
 	c.code = code
-	c.SetDeadline(time.Unix(1, 0))
+	c.SetReadDeadline(time.Unix(1, 0))
+	if c.state == writing {
+		c.SetWriteDeadline(time.Unix(1, 0))
+	}
 }
 
 // to enters a state. It tells whether the connection goes on.
@@ -159,16 +184,26 @@
 			return false
 		case reading, busy:
 			// It was ended as unused, but a request had begun to come in: taken is taken. It is the last.
-			c.SetDeadline(time.Time{})
+			c.SetReadDeadline(time.Time{})
 		}
 	}
-	c.state, c.since = st, time.Now()
+	if c.fresh = c.fresh && (st == idle || st == reading); !c.fresh {
+		c.since = time.Now()
+	}
+	c.state = st
 	if st == idle && s.waiting > 0 {
 		s.room.Broadcast()
 	}
 	return true
 }
 
+// ended tells why the connection is being ended from outside, if it is.
+func (c *conn) ended() string {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	return c.code
+}
+
 // last tells whether the connection is to end with the next answer.
 func (c *conn) last() bool {
 	c.server.mu.Lock()
@@ -256,13 +291,16 @@
 		p.status, p.code, p.text = 431, "client-head-too-large", "request line and headers too large"
 	case errors.Is(err, http1.ErrBodyTooLarge):
 		p.status, p.code, p.text = 413, "client-body-too-large", "body too large"
+	case c.ended() == "client-slow-request":
+		p.status, p.code, p.text = 408, "client-slow-request", "the request did not come to its end"
 	default:
 		return "" // the connection itself ended
 	}
 	c.answerProblem(&p, true)
 	// Closing with unread bytes would reset the connection, and the answer might be lost with it.
 	c.Conn.(*net.TCPConn).CloseWrite()
-	c.SetReadDeadline(time.Now().Add(time.Second))
+	c.to(closing)
+	c.SetReadDeadline(time.Now().Add(lingerMost))
 	io.CopyN(io.Discard, c.Conn, 4*http1.MaxBody)
 	return p.code
 }
@@ -281,6 +319,12 @@
 		return c.lastOf(r, c.answerProblem(bad, r.Close))
 	}
 
+	if !s.claim(message.ID) {
+		s.log.WithFields(logrus.Fields{"code": "request-id-in-use", "status": 409}).Warn("bad request")
+		c.watch <- nil
+		return c.lastOf(r, c.answerProblem(&problem{status: 409, code: "request-id-in-use", text: "X-Request-ID is that of a request in hand"}, r.Close))
+	}
+	defer s.free(message.ID)
 	c.to(busy)
 	ctx, cancel := context.WithCancel(s.halt)
 	defer cancel()
@@ -306,6 +350,22 @@
 	}
 }
 
+// claim takes an id for one request, until it is freed. A second request under it is no retry, for these
+// have ids of their own: quote servers would take the two for one, to the harm of the first.
+func (s *Server) claim(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, taken := s.ids[id]
+	s.ids[id] = struct{}{}
+	return !taken
+}
+
+func (s *Server) free(id string) {
+	s.mu.Lock()
+	delete(s.ids, id)
+	s.mu.Unlock()
+}
+
 // ready answers the front: 200 from the first moment, 503 once it is to stop coming.
 func (c *conn) ready(r *http1.Request) (code string, err error) {
 	c.watch <- nil
@@ -381,15 +441,20 @@
 	defer s.mu.Unlock()
 	for c := range s.conns {
 		switch age := now.Sub(c.since); {
+		case c.state == reading && age > requestMost: // also one ended as unused when its first byte came
+			c.end("client-slow-request")
 		case c.code != "":
-		case c.state == idle && age > idleMost:
+		case c.state == idle && c.fresh && age > requestMost:
+			c.end("client-silent")
+		case c.state == idle && !c.fresh && age > idleMost:
 			c.end("client-idle")
-		case c.state == reading && age > stuckMost:
-			c.end("client-slow-request")
 		case c.state == writing && age > stuckMost:
 			c.end("client-slow-reader")
 		}
 	}
+	if s.waiting > 0 {
+		s.room.Broadcast() // one that was new a moment ago may be slow by now
+	}
 }
 
 // Leave makes the readiness page say that clients should go elsewhere.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -65,18 +65,22 @@
 			s.sweepAt(time.Now().Add(d))
 			return later
 		}
-		one := func(st state) func() bool { // a connection is in that state
-			return func() bool {
-				for c := range s.conns {
-					if c.state == st {
-						return true
+		in := func(st state) func(string) string { // so many connections are in that state
+			return func(many string) string {
+				never := until(func() bool {
+					n := 0
+					for c := range s.conns {
+						if c.state == st {
+							n++
+						}
 					}
-				}
-				return false
+					return strconv.Itoa(n) == many
+				})("")
+				return many + never
 			}
 		}
-		p.Hooks["idle"] = until(one(idle))
-		p.Hooks["reading"] = until(one(reading))
+		p.Hooks["idle"] = in(idle)
+		p.Hooks["reading"] = in(reading)
 		p.Hooks["waiting"] = until(func() bool { return s.waiting > 0 })
 		p.Hooks["open"] = func(string) string {
 			s.mu.Lock()
@@ -87,6 +91,31 @@
 	})
 }
 
+// What is closed first for want of room, from what is closed only for want of that.
+func TestSpare(t *testing.T) {
+	now := time.Now()
+	ago := func(d time.Duration) time.Time { return now.Add(-d) }
+	refused := &conn{state: closing, since: ago(time.Millisecond)}
+	slow := &conn{state: reading, fresh: true, since: ago(time.Second)}
+	silent := &conn{state: idle, fresh: true, since: ago(10 * time.Millisecond)}
+	longIdle := &conn{state: idle, since: ago(time.Minute)}
+	shortIdle := &conn{state: idle, since: ago(time.Second)}
+	s := &Server{conns: map[*conn]struct{}{
+		refused: {}, slow: {}, silent: {}, longIdle: {}, shortIdle: {},
+		{state: reading, fresh: true, since: ago(time.Millisecond)}: {}, // it may be a good client's
+		{state: reading, since: ago(time.Second)}:                   {},
+		{state: busy, since: ago(time.Minute)}:                      {},
+		{state: writing, since: ago(time.Minute)}:                   {},
+		{state: idle, since: ago(time.Hour), code: "client-idle"}:   {}, // goes anyway
+	}}
+	for i, want := range []*conn{slow, silent, refused, longIdle, shortIdle, nil} {
+		if got := s.spare(now); got != want {
+			t.Fatalf("%d: want %+v, got %+v", i, want, got)
+		}
+		delete(s.conns, want)
+	}
+}
+
 // A connection that is ended as unused at the moment a request begins still serves that one, as its last.
 func TestTakenIsTaken(t *testing.T) {
 	near, far := net.Pipe()
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -14,8 +14,8 @@
 const (
 	pathPrefix  = "/api/"
 	mostTimeout = 300.0 // s: no client of this service waits that long
-	mostUnits   = 1e6
-	mostID      = 128 // bytes
+	mostUnits   = 1e6   // where the settings name no most
+	mostID      = 128   // bytes
 
 	// The keys in textproto's own form: Get would make each anew.
 	keyID, keyClass, keyPlan         = "X-Request-Id", "X-Priority-Class", "X-Tier"
@@ -68,15 +68,16 @@
 		return fail(400, "request-bad-timeout", "X-Timeout is not a time in seconds")
 	}
 	request.Left = max(request.Left/2, request.Left-transit.Seconds())
-	if !terms(r.Header.Get(keyTerms), &request) || request.Doors > s.ingresses {
+	if !s.terms(r.Header.Get(keyTerms), &request) {
 		return fail(400, "request-bad-terms", "X-Call-Terms does not state units, spread and first")
 	}
 	request.Repeat = r.Header.Get(keyRetried) == "1"
 	return request, &upstream.Message{Method: r.Method, Target: r.Target, ID: id, Body: r.Body}, nil
 }
 
-// terms reads 'units=2,spread=3,first=1'. Terms it does not know are passed over.
-func terms(value string, r *passhub.Request) bool {
+// terms reads 'units=2,spread=3,first=1'. Terms it does not know are passed over. What the settings do not
+// allow is refused: it would use up the quota of the customer it names.
+func (s *Server) terms(value string, r *passhub.Request) bool {
 	var units, spread, first bool
 	for value != "" {
 		var term string
@@ -84,15 +85,15 @@
 		name, number, _ := strings.Cut(strings.TrimSpace(term), "=")
 		switch name {
 		case "units":
-			if r.Units, units = decimal(number); r.Units <= 0 || r.Units > mostUnits {
+			if r.Units, units = decimal(number); r.Units <= 0 || r.Units > s.mostUnits {
 				return false
 			}
 		case "spread":
 			n, err := strconv.ParseUint(number, 10, 31)
-			r.Doors, spread = int(n), err == nil && n > 0
+			r.Doors, spread = int(n), err == nil && n > 0 && int(n) <= s.ingresses
 		case "first":
-			_, err := strconv.ParseUint(number, 10, 31)
-			first = err == nil
+			n, err := strconv.ParseUint(number, 10, 31)
+			first = err == nil && int(n) < s.ingresses
 		}
 	}
 	return units && spread && first
