Call the counter less only when it is crowded, not for answers that cannot be read

Of some 3,000 answers 65 are spoilt, each with the calls behind it. Wrong lines: gateway.go, counted: every outcome but Done lowered the chance of a call by a quarter, and an answer raises it by one in a hundred, so that one in thirty is the most it bears; counter.go told a spoilt answer as Reset. Ruled out: calls turned away (0%).

Now a spoilt answer is told as Failed to its own call, which changes nothing, and only Busy and TimedOut lower the chance. Reset and Refused still count toward leaving a silent counter alone.

--- a/gateway.go
+++ b/gateway.go
@@ -438,11 +438,15 @@
 	} else {
 		g.unheard++
 	}
-	if e.Outcome == Done {
+	switch e.Outcome {
+	case Done:
 		g.silent, g.muted = 0, 0
 		g.chance = min(1, g.chance*chanceUp)
-	} else {
-		g.chance = max(chanceLeast, g.chance*chanceDown)
+	case Failed: // answered, if not with a total: no sign that it has no room
+	default:
+		if e.Outcome == Busy || e.Outcome == TimedOut { // a broken connection says nothing of room
+			g.chance = max(chanceLeast, g.chance*chanceDown)
+		}
 		if g.silent++; g.silent >= muteAfter {
 			g.muted = g.now + muteFor
 		}
--- a/gateway_test.go
+++ b/gateway_test.go
@@ -652,3 +652,20 @@
 		t.Errorf("%d calls in 5 s before the loss, %d after it", before, after)
 	}
 }
+
+// A counter's answer that cannot be read, or a connection to it that breaks, says nothing of the room it has:
+// on a day with one in thirty spoilt, quotas would hardly be watched any more.
+func TestOnlyACrowdedCounterIsCalledLess(t *testing.T) {
+	for _, tc := range []struct {
+		outcome Outcome
+		less    bool
+	}{{Failed, false}, {Refused, false}, {Reset, false}, {Busy, true}, {TimedOut, true}} {
+		g := started(t, testSettings())
+		for range 3 {
+			g.Handle(1, Counted{Name: "c/1", Outcome: tc.outcome})
+		}
+		if less := g.chance < 1; less != tc.less {
+			t.Errorf("outcome %d: chance %v", tc.outcome, g.chance)
+		}
+	}
+}
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -134,7 +134,7 @@
 // link is one connection and the calls on it, in order. The lane's mutex guards it.
 type link struct {
 	conn    net.Conn
-	cut     bool // a write ended within a call: what came after it would be read as the rest
+	cut     bool // of no more use: a write ended within a call, or an answer cannot be read
 	left    []*call
 	heard   time.Time
 	retired time.Time // since when calls go elsewhere; zero: they come here
@@ -333,18 +333,21 @@
 	r := bufio.NewReaderSize(k.conn, 1024)
 	for {
 		a, err := readAnswer(r)
-		if err != nil {
+		if err != nil && !errors.Is(err, errAnswer) {
 			return err
 		}
 		l.mu.Lock()
 		if len(k.left) == 0 {
 			l.mu.Unlock()
-			return fmt.Errorf("%w: one too many", errAnswer)
+			return cmp.Or(err, fmt.Errorf("%w: one too many", errAnswer))
 		}
 		c := k.left[0]
-		if (c.name == "") != a.pong { // drop tells it as the others: it was added, but the total is not known
-			l.mu.Unlock()
-			return fmt.Errorf("%w: of this call", errAnswer)
+		if err == nil && (c.name == "") != a.pong {
+			err = fmt.Errorf("%w: of this call", errAnswer)
+		}
+		if err != nil {
+			a = answer{outcome: passhub.Failed} // to this call all the same: it was added, the total is not known
+			k.cut = true
 		}
 		k.left[0] = nil
 		k.left = k.left[1:]
@@ -359,6 +362,9 @@
 			c.timer.Stop()
 			l.client.told(c.name, a.outcome, a.total)
 		}
+		if err != nil {
+			return err
+		}
 	}
 }
 
--- a/passhub.go
+++ b/passhub.go
@@ -158,7 +158,7 @@
 	Units   float64 // true units, where they are settled afterwards; else 0
 }
 
-// Counted is the answer to a Count.
+// Counted is the answer to a Count. Failed: the counter answered, but no total can be told from it.
 type Counted struct {
 	Name    string
 	Outcome Outcome
