Hold thin customers to a slice between two totals of the counter

A probe by the way a request was let in: from 10 to 16 s, when a plan's demand rises fourfold and the counter is lost, 70 units a second at one gateway went by ratios believed from before, 27 to 39 of them beyond the whole quota by what this gateway alone had sent on; the steady rate is 30. Ruled out: ratios just told (3 units), customers with slices, frozen ratios (a fifth of it).

Wrong line, gateway.go, inside: a thin customer's last ratio let in that part of whatever was asked, for up to four cycles or as long as the counter was silent. The design freezes slices, not ratios. Now the ratio's slice, the quota times this gateway's share of the demand by the last totals, feeds the local store, and holds its part of the burst.

--- a/gateway.go
+++ b/gateway.go
@@ -125,6 +125,7 @@
 	thin       bool    // a cycle's even share holds no request: each request is a report of its own
 	draw       float64 // 0 to 1 by its name, the same at all gateways
 	sum, ratio float64 // total of this cycle so far; the common ratio x/r by the last totals
+	share      float64 // of the demand that comes through this gateway, by the last totals
 	asks       []query
 }
 
@@ -295,6 +296,7 @@
 		c.draw = float64(h.Sum32()) / math.MaxUint32
 		c.validFor = freshCycles * c.period
 		c.slice, c.level = c.quota/c.doors, plan.Burst+max(1, g.s.MaxUnits) // fill cuts it
+		c.share = 1 / c.doors
 		if plan.Rate > 0 {
 			c.thin = c.doors > 1 && c.quota*c.period/c.doors < thinUnits*max(1, g.s.MaxUnits)
 		} else {
@@ -328,8 +330,8 @@
 	if c.quota <= 0 {
 		return true
 	}
-	if c.thin && (g.believed(c) || g.silent > 0 && c.ratio > 0) { // a silent counter freezes the ratio
-		return g.rng.Float64() < c.ratio
+	if c.thin && (g.believed(c) || g.silent > 0 && c.ratio > 0) && g.rng.Float64() >= c.ratio {
+		return false // a silent counter freezes the ratio
 	}
 	g.fill(c)
 	if c.level < c.units(r) {
@@ -357,7 +359,9 @@
 func (g *Gateway) fill(c *customer) {
 	rate, most := c.slice, c.plan.Burst*min(1, c.slice/c.quota)
 	if c.thin {
-		rate, most = g.rate(c)/c.doors, max(1, g.s.MaxUnits)
+		if rate, most = g.rate(c)*c.share, max(1, g.s.MaxUnits); !math.IsInf(c.totalAt, -1) {
+			most = max(most, c.plan.Burst*c.share)
+		}
 	}
 	c.level = min(most, c.level+rate*(g.now-c.filled))
 	c.filled = g.now
@@ -559,7 +563,15 @@
 	default:
 		c.ratio = min(1, aimShare*Q*spent/c.sum)
 	}
-	r.inside = g.rng.Float64() < c.ratio
+	// Between two words the ratio may let in no more than the slice it stands for, and its part of the burst:
+	// demand that rises meanwhile went beyond quotas (fleet day: three times the quotas for six seconds).
+	quiet := quietShare * Q / c.doors // as r is noise
+	own := (c.r*T+c.demand)/(T+max(0, g.now-c.since)) + quiet
+	c.share = min(1, own/(R+quiet*c.doors))
+	g.fill(c)
+	if r.inside = g.rng.Float64() < c.ratio; r.inside {
+		c.level = max(0, c.level-c.units(r))
+	}
 	g.admit(r)
 }
 
--- a/gateway_test.go
+++ b/gateway_test.go
@@ -721,3 +721,35 @@
 		t.Errorf("%d of 200 sent on in 20 s", sent)
 	}
 }
+
+// Between two totals a thin customer's ratio lets in no more than its slice and its part of the burst. Else a
+// customer that asked little when the counter fell silent got in whatever it asked for afterwards.
+func TestRisingDemandOfAThinCustomerIsBoundedBetweenTotals(t *testing.T) {
+	s := testSettings()
+	s.Plans = []Plan{{Name: "thin", Rate: 1, Burst: 2, Price: 1, BeyondCosts: 1}}
+	g, id := started(t, s, up("b", 0)), uint64(0)
+	try := func(now Seconds, outcome Outcome) (sent int) {
+		id++
+		e := ask(id, "safe", "thin")
+		e.Doors = 4
+		out := g.Handle(now, e)
+		for _, a := range of[Count](out) {
+			out = append(out, g.Handle(now, Counted{Name: a.Name, Outcome: outcome, Total: 1})...)
+		}
+		for _, a := range of[Send](out) {
+			sent++
+			g.Handle(now, AttemptEnded{ID: a.ID, Backend: a.Backend, Outcome: Done, Took: 0.01, Settled: true})
+		}
+		return sent
+	}
+	if sent := try(1, Done); sent != 1 {
+		t.Fatalf("%d sent on while the counter answers", sent)
+	}
+	sent := 0
+	for i := range 100 {
+		sent += try(2+float64(i)*0.1, TimedOut)
+	}
+	if sent < 3 || sent > 10+2 { // the whole quota and the burst are the most that any gateway may use
+		t.Errorf("%d of 100 sent on in 10 s", sent)
+	}
+}
