Hold back the last byte of a request until a reset would be here

Wrong lines, upstream.go, Do: the request went out in one write, and a reset after it proves nothing. Now the last byte waits for twice the time it took to connect, 1 to 10 ms. What ends the connection before it, or what the server says before it, proves that nothing ran: on a kept connection the request goes on on the next one, and only a new one that fails counts against the server.

Scripts read a request whole before they answer it (verb takes).

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -7,6 +7,7 @@
 //	NAME > TEXT    writes TEXT and a line end; NAME >> TEXT leaves the line end out
 //	NAME < TEXT    reads as many lines as TEXT has, which must be it; a * at a line's end stands for any rest
 //	NAME << TEXT   reads as many bytes as TEXT has, which must be it
+//	NAME takes T   reads a whole request, body included, that begins with the line T
 //	NAME chunk T   writes T as one line in a chunk of a chunked body
 //	NAME accept    takes the next connection to a listener; the first is taken by itself
 //	NAME eof       the other side must end the connection
@@ -22,6 +23,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/textproto"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -163,6 +165,8 @@
 	case ">>":
 		_, err = io.WriteString(c, plain)
 		return line, err
+	case "takes":
+		came, err = c.request(plain)
 	case "chunk":
 		_, err = fmt.Fprintf(c, "%x\r\n%s\n\r\n", len(plain)+1, plain)
 		return line, err
@@ -207,6 +211,23 @@
 	return fmt.Sprintf("%s %s %s", name, verb, strings.Trim(strconv.Quote(came), `"`)), err
 }
 
+// request reads one request. It returns as much of the first line as was asked for.
+func (c *conn) request(want string) (came string, err error) {
+	r := textproto.NewReader(c.r)
+	if came, err = r.ReadLine(); err != nil {
+		return came, err
+	}
+	head, err := r.ReadMIMEHeader()
+	if err != nil {
+		return came, err
+	}
+	length, _ := strconv.ParseInt(head.Get("Content-Length"), 10, 64)
+	if _, err = io.CopyN(io.Discard, c.r, length); strings.HasPrefix(came, want) {
+		came = want
+	}
+	return came, err
+}
+
 func (p *Player) conn(name string, accept bool) (*conn, error) {
 	if c := p.conns[name]; c != nil && !accept {
 		return c, nil
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -20,6 +20,8 @@
 const (
 	idleShare  = 0.6 // of the servers' keep-alive: a request written to a connection they close is lost
 	sweepEvery = time.Second
+
+	settleTrips, settleLeast, settleMost = 2, time.Millisecond, 10 * time.Millisecond // of the time to connect
 )
 
 // Lookup gives a backend's address, and whether it may be sent anything new.
@@ -38,6 +40,7 @@
 	limits Limits
 	log    *logrus.Logger
 	dial   func(ctx context.Context, network, addr string) (net.Conn, error)
+	settle func(*conn) // waits until a reset by the server would be here
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by backend, the newest last
@@ -50,14 +53,16 @@
 	backend, addr string
 	reader        *http1.Reader
 	raw           syscall.RawConn
-	since         time.Time // idle since then
+	settle        time.Duration // by which what it answers to a byte is here
+	since         time.Time     // idle since then
 	uses          int
 }
 
 // New returns an empty pool.
 func New(lookup Lookup, limits Limits, log *logrus.Logger) *Pool {
 	dialer := net.Dialer{Timeout: limits.ConnectTimeout, KeepAlive: -1}
-	return &Pool{lookup: lookup, limits: limits, log: log, dial: dialer.DialContext, idle: map[string][]*conn{}}
+	return &Pool{lookup: lookup, limits: limits, log: log, dial: dialer.DialContext, idle: map[string][]*conn{},
+		settle: func(c *conn) { time.Sleep(c.settle) }}
 }
 
 // Message is a request as it goes to a backend.
@@ -79,37 +84,14 @@
 	if _, serving := p.lookup(backend); !serving || ctx.Err() != nil {
 		return Result{Outcome: passhub.Skipped}
 	}
-	c, err := p.get(ctx, backend, until)
-	if errors.Is(err, errUnneeded) || errors.Is(err, errFull) {
-		return Result{Outcome: passhub.Skipped} // nothing was sent, and the server is not to blame
-	}
-	if err != nil {
+	c, err := p.send(ctx, backend, m, until)
+	switch {
+	case errors.Is(err, errUnneeded), errors.Is(err, errFull):
+		return Result{Outcome: passhub.Skipped} // nothing was sent whole, and the server is not to blame
+	case err != nil:
 		return Result{Outcome: passhub.Refused}
 	}
-	// A dial takes a while: the list may have changed, the client gone, the time run out.
-	addr, serving := p.lookup(backend)
-	left := time.Until(until)
-	if !serving || addr != c.addr || ctx.Err() != nil || left <= 0 {
-		p.put(c, true)
-		return Result{Outcome: passhub.Skipped}
-	}
-	c.uses++
-	c.SetDeadline(until)
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(longAgo) })
-	buf := buffers.Get().(*[]byte)
-	*buf = appendRequest((*buf)[:0], m, left)
-	n, err := c.Write(*buf)
-	whole := n == len(*buf)
-	buffers.Put(buf)
-	if err != nil && !whole {
-		stop()
-		if ctx.Err() != nil { // the client left: nothing ran, and the server is not to blame
-			p.close(c, "upstream-not-needed", err)
-			return Result{Outcome: passhub.Skipped}
-		}
-		p.close(c, "upstream-write-failed", err)
-		return Result{Outcome: passhub.Refused}
-	}
 	r, code, err := read(c.reader)
 	reusable := stop() // else the deadline may be changed at any time from now on
 	switch {
@@ -124,6 +106,62 @@
 	return r
 }
 
+// send writes a request on a connection. A kept one may turn out to be forgotten by the server, which says
+// nothing of the server: then the next one takes its place, and no part of the request has run. A new one is the
+// last to be tried.
+func (p *Pool) send(ctx context.Context, backend string, m *Message, until time.Time) (*conn, error) {
+	buf := buffers.Get().(*[]byte)
+	defer buffers.Put(buf)
+	for {
+		c, err := p.get(ctx, backend, until)
+		if err != nil {
+			return nil, err
+		}
+		// A dial takes a while: the list may have changed, the client gone, the time run out.
+		addr, serving := p.lookup(backend)
+		left := time.Until(until)
+		if !serving || addr != c.addr || ctx.Err() != nil || left <= 0 {
+			p.put(c, true)
+			return nil, errUnneeded
+		}
+		c.uses++
+		c.SetDeadline(until)
+		*buf = appendRequest((*buf)[:0], m, left)
+		whole, err := p.write(ctx, c, *buf)
+		switch {
+		case whole:
+			return c, nil
+		case ctx.Err() != nil: // the client left: nothing ran, and the server is not to blame
+			p.close(c, "upstream-not-needed", err)
+			return nil, errUnneeded
+		}
+		p.close(c, "upstream-write-failed", err)
+		if c.uses == 1 {
+			return nil, err
+		}
+	}
+}
+
+var errEnded = errors.New("ended before the request was whole")
+
+// write sends a request in two parts, the last byte by itself. A server that has forgotten a kept connection
+// resets it at the first byte of a request, and what comes before the request is whole is no answer to it: with
+// the last byte still here, either proves that nothing ran.
+func (p *Pool) write(ctx context.Context, c *conn, b []byte) (whole bool, err error) {
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(longAgo) })
+	defer stop()
+	last := len(b) - 1
+	if _, err = c.Write(b[:last]); err != nil {
+		return false, err
+	}
+	p.settle(c)
+	if code := c.stale(c.addr); code != "" || ctx.Err() != nil {
+		return false, fmt.Errorf("%w: %s", errEnded, code)
+	}
+	n, err := c.Write(b[last:])
+	return n == 1, err
+}
+
 // broken tells apart how an attempt that was written whole ended without an answer.
 func broken(ctx context.Context, err error) (passhub.Outcome, string) {
 	var timeout net.Error
@@ -218,6 +256,7 @@
 	if spare != nil {
 		p.close(spare, "upstream-room", nil)
 	}
+	begun := time.Now()
 	within, done := context.WithDeadline(ctx, until)
 	nc, err := p.dial(within, "tcp", addr)
 	done()
@@ -233,7 +272,8 @@
 		p.log.WithFields(logrus.Fields{"code": code, "backend": backend}).WithError(err).Info("upstream connection ended")
 		return nil, err
 	}
-	c := &conn{Conn: nc, backend: backend, addr: addr, reader: http1.NewReader(nc)}
+	c := &conn{Conn: nc, backend: backend, addr: addr, reader: http1.NewReader(nc),
+		settle: min(max(settleTrips*time.Since(begun), settleLeast), settleMost)}
 	if c.raw, err = nc.(*net.TCPConn).SyscallConn(); err != nil {
 		p.close(c, "upstream-connect-failed", err)
 		return nil, err
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -50,6 +50,10 @@
 			(<-dialed).SetReadDeadline(longAgo)
 			return ""
 		}
+		p.Hooks["hold"] = func(string) string { // the last byte, until the server has ended the connection
+			pool.settle = func(c *conn) { exchange.Until(func() bool { return c.stale(addr) != "" }) }
+			return ""
+		}
 		p.Hooks["ended"] = func(string) string { // the news that the server ended the idle connection is here
 			return exchange.Until(func() bool {
 				pool.mu.Lock()
