End connections with their answers in a crowd, and look before closing new ones

In the logs one ingress closed 2,195 connections for want of room, about 250 in 0.35 s at a time, 759 of them before any request was read; the usual clients come from the same addresses as the others and close after one request.

Wrong lines, ingress.go: spare took a new connection whose request was already in the socket for a silent one, for its goroutine had not run yet; and idle connections filled the bound until somebody had to be closed at the wrong moment. Now it looks for unread bytes first, and with less than an eighth of the places left an answer is the last on its connection, and says so.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -26,6 +27,7 @@
 	wholeSoon   = 100 * time.Millisecond // a client that means it sends a request whole at once
 	acceptPause = 10 * time.Millisecond  // guards against spinning on an error that stays
 	stuckMost   = 10 * time.Second       // a client that takes longer over an answer holds the connection for nothing
+	crowdedPart = 8                      // of the places: with no more left, an answer is the last on its connection
 	lingerMost  = time.Second            // for a client to read why it is refused
 )
 
@@ -96,6 +98,7 @@
 	state state
 	since time.Time // in that state; until a first request is whole, since the beginning
 	fresh bool      // no request has come in whole
+	asks  bool      // idle, but bytes of a request are here
 	code  string    // why it was ended from outside
 }
 
@@ -126,6 +129,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.waiting++
+	again := false
 	for asked := false; len(s.conns) >= s.most; s.room.Wait() {
 		if asked {
 			continue // one connection goes for each that comes, not one more whenever another ends
@@ -133,6 +137,9 @@
 		if other := s.spare(time.Now()); other != nil {
 			other.end("client-room")
 			asked = true
+		} else if !again {
+			again = true
+			time.AfterFunc(wholeSoon, s.room.Broadcast) // one that is new now is slow by then
 		}
 	}
 	s.waiting--
@@ -147,18 +154,45 @@
 // of silent connections must crowd out itself.
 func (s *Server) spare(now time.Time) (spare *conn) {
 	useless := func(c *conn) bool {
-		return c.state == closing || c.fresh && (c.state == idle || c.state == reading && now.Sub(c.since) > wholeSoon)
+		return c.state == closing || c.fresh && (c.state == idle && !c.asks || c.state == reading && now.Sub(c.since) > wholeSoon)
 	}
-	for c := range s.conns {
-		if c.code != "" || !useless(c) && c.state != idle {
-			continue
+	for {
+		spare = nil
+		for c := range s.conns {
+			if c.code != "" || !useless(c) && (c.state != idle || c.fresh || c.asks) {
+				continue
+			}
+			if spare == nil || useless(c) && !useless(spare) ||
+				useless(c) == useless(spare) && c.since.Before(spare.since) {
+				spare = c
+			}
 		}
-		if spare == nil || useless(c) && !useless(spare) ||
-			useless(c) == useless(spare) && c.since.Before(spare.since) {
-			spare = c
+		if spare == nil || spare.state != idle || !spare.begun() {
+			return spare
 		}
+		spare.asks = true // in a rush its request may be here for long before it is read
 	}
-	return spare
+}
+
+// begun tells whether bytes have come that nobody has read yet.
+func (c *conn) begun() (is bool) {
+	if c.asks {
+		return true
+	}
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, _ := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		is = n > 0
+	})
+	return is
 }
 
 // end closes a connection from outside, the server's mutex held.
@@ -190,7 +224,7 @@
 	if c.fresh = c.fresh && (st == idle || st == reading); !c.fresh {
 		c.since = time.Now()
 	}
-	c.state = st
+	c.state, c.asks = st, false
 	if st == idle && s.waiting > 0 {
 		s.room.Broadcast()
 	}
@@ -208,6 +242,9 @@
 func (c *conn) last() bool {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
+	if s := c.server; c.code == "" && len(s.conns) > s.most-s.most/crowdedPart {
+		c.code = "client-room" // told so, the client asks elsewhere; closed while idle, its next request might cross
+	}
 	return c.code != "" || c.server.draining
 }
 
@@ -443,13 +480,13 @@
 		switch age := now.Sub(c.since); {
 		case c.state == reading && age > requestMost: // also one ended as unused when its first byte came
 			c.end("client-slow-request")
+		case c.state == writing && age > stuckMost:
+			c.end("client-slow-reader")
 		case c.code != "":
 		case c.state == idle && c.fresh && age > requestMost:
 			c.end("client-silent")
 		case c.state == idle && !c.fresh && age > idleMost:
 			c.end("client-idle")
-		case c.state == writing && age > stuckMost:
-			c.end("client-slow-reader")
 		}
 	}
 	if s.waiting > 0 {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -102,11 +102,12 @@
 	shortIdle := &conn{state: idle, since: ago(time.Second)}
 	s := &Server{conns: map[*conn]struct{}{
 		refused: {}, slow: {}, silent: {}, longIdle: {}, shortIdle: {},
-		{state: reading, fresh: true, since: ago(time.Millisecond)}: {}, // it may be a good client's
-		{state: reading, since: ago(time.Second)}:                   {},
-		{state: busy, since: ago(time.Minute)}:                      {},
-		{state: writing, since: ago(time.Minute)}:                   {},
-		{state: idle, since: ago(time.Hour), code: "client-idle"}:   {}, // goes anyway
+		{state: reading, fresh: true, since: ago(time.Millisecond)}:     {}, // it may be a good client's
+		{state: idle, fresh: true, asks: true, since: ago(time.Second)}: {}, // its request is here, unread
+		{state: reading, since: ago(time.Second)}:                       {},
+		{state: busy, since: ago(time.Minute)}:                          {},
+		{state: writing, since: ago(time.Minute)}:                       {},
+		{state: idle, since: ago(time.Hour), code: "client-idle"}:       {}, // goes anyway
 	}}
 	for i, want := range []*conn{slow, silent, refused, longIdle, shortIdle, nil} {
 		if got := s.spare(now); got != want {
@@ -116,6 +117,60 @@
 	}
 }
 
+// A connection with unread bytes of a request is not closed for want of room.
+func TestSpareLooksBeforeItCloses(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	s := &Server{conns: map[*conn]struct{}{}}
+	var silent *conn
+	for _, word := range []string{"", "G"} {
+		client, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer client.Close()
+		near, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer near.Close()
+		client.Write([]byte(word))
+		c := &conn{Conn: near, fresh: true, since: time.Now().Add(-time.Second)}
+		if s.conns[c] = struct{}{}; word == "" {
+			silent = c
+		} else if exchange.Until(c.begun) != "" {
+			t.Fatal("the byte does not come")
+		}
+	}
+	if got := s.spare(time.Now()); got != silent {
+		t.Errorf("want %+v, got %+v", silent, got)
+	}
+	delete(s.conns, silent)
+	if got := s.spare(time.Now()); got != nil {
+		t.Errorf("want none, got %+v", got)
+	}
+}
+
+// Where hardly any place is left, an answer is the last on its connection.
+func TestCrowded(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	s := &Server{most: 8, conns: map[*conn]struct{}{}}
+	c := &conn{Conn: near, server: s}
+	for s.conns[c] = struct{}{}; len(s.conns) < 7; s.conns[&conn{}] = struct{}{} {
+	}
+	if c.last() || !c.to(idle) {
+		t.Error("ends with a place left")
+	}
+	s.conns[&conn{}] = struct{}{}
+	if !c.last() || c.to(idle) || c.code != "client-room" {
+		t.Error("goes on with no place left")
+	}
+}
+
 // A connection that is ended as unused at the moment a request begins still serves that one, as its last.
 func TestTakenIsTaken(t *testing.T) {
 	near, far := net.Pipe()
