Forget quote servers that have left, a minute after their last use

Seen by reading: gateway.go kept each backend that the list ever named, in order and by id, and walked all of them for every choice.

Now one that has left and owes no answer goes after 60 s without use; told of again, its start says whether it is cold.

--- a/gateway.go
+++ b/gateway.go
@@ -25,7 +25,7 @@
 	muteAfter, muteFor = 4, 1.0   // calls in a row without answer, then s without calls until one tries again
 	lostAfter          = 2.5      // s without an answer: lost, which tells nothing of what it takes
 	fastSpan           = 0.7      // s: spikes are over before a cycle tells of them
-	idleLapse          = 60.0     // s without a request after which a customer is forgotten
+	idleLapse          = 60.0     // s without use after which a customer, or a backend gone, is forgotten
 
 	// Thin customers: see told.
 	thinUnits            = 3.0         // largest requests in a cycle's even share: below it a slice is noise
@@ -923,6 +923,14 @@
 	g.sentRate *= math.Exp(-dt / sentSpan)
 	g.trials = min(reachLeast, g.trials+trialRate*dt)
 	g.extent()
+	g.order = slices.DeleteFunc(g.order, func(b *backend) bool {
+		// Servers come and go all day. Told of again, one is known by its start to be cold or warm.
+		gone := !(b.listed && b.Serving) && b.out == 0 && g.now-b.usedAt > idleLapse
+		if gone {
+			delete(g.backends, b.ID)
+		}
+		return gone
+	})
 	used, warm, size, fade := 0, 0, 0.0, math.Exp(-dt/seenSpan)
 	for _, b := range g.order {
 		if !b.listed || !b.Serving {
--- a/gateway_test.go
+++ b/gateway_test.go
@@ -773,3 +773,26 @@
 		t.Errorf("%d of 10 sent on at once, want a quarter of the burst of 20", sent)
 	}
 }
+
+// Servers replaced all day long, each under a new id, are forgotten once they have left and owe nothing.
+func TestBackendsThatLeftAreForgotten(t *testing.T) {
+	g := started(t, testSettings(), up("kept", 0))
+	g.Handle(1, Backends{List: []Backend{up("busy", 0)}})
+	g.Handle(1, Backends{List: []Backend{{ID: "kept", Zone: "a"}}})
+	if sent := of[Send](g.Handle(1, ask(1, "unsafe", "free"))); len(sent) != 1 || sent[0].Backend != "busy" {
+		t.Fatalf("sent %v", sent)
+	}
+	g.Handle(2, Backends{List: []Backend{{ID: "busy", Zone: "a"}, up("kept", 0)}})
+	for i := range 500 {
+		now := 2 + float64(i)
+		g.Handle(now, Backends{List: []Backend{up(fmt.Sprint("b", i), 0), {ID: fmt.Sprint("b", i-1), Zone: "a"}}})
+		g.Handle(now, Timer{"tick"})
+	}
+	if n := len(g.order); n > 3 || n != len(g.backends) || g.backends["kept"] == nil || g.backends["busy"] == nil {
+		t.Errorf("%d backends in order, %d by id, want kept, the last one, and the one that owes an answer", n, len(g.backends))
+	}
+	g.Handle(502, AttemptEnded{ID: 1, Backend: "busy", Outcome: Done, Took: 500, Settled: true})
+	if g.Handle(503, Timer{"tick"}); g.backends["busy"] != nil {
+		t.Error("kept though it owes nothing any more")
+	}
+}
