Bound the interim answers before an answer

Seen by reading: http1.go, Response, passed over 1xx answers for as long as they came, bounded by the attempt's time alone. Nine are a broken start line now, a failed attempt that may have run.

--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -21,6 +21,7 @@
 	// MaxBody is the most that a message may carry.
 	MaxBody = 64 << 10
 
+	mostInterim   = 8        // 1xx answers before one: a server could else send them without end
 	chunkOverhead = 64 << 10 // most that the framing of a whole chunked body may take
 )
 
@@ -105,7 +106,7 @@
 
 // Response reads the head of the next final answer to a request that was not a HEAD.
 func (m *Reader) Response() (*Response, error) {
-	for {
+	for range mostInterim + 1 {
 		m.limit.N = MaxHead - int64(m.buf.Buffered())
 		line, err := m.startLine()
 		if err != nil {
@@ -133,6 +134,7 @@
 		}
 		return a, nil
 	}
+	return nil, fmt.Errorf("%w: interim answers without end", ErrStartLine)
 }
 
 // Body reads the whole body of an answer.
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -84,6 +84,17 @@
 	}
 }
 
+// Interim answers are passed over, but not without end.
+func TestInterimAnswersAreBounded(t *testing.T) {
+	const interim, final = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n"
+	if a, err := NewReader(strings.NewReader(strings.Repeat(interim, mostInterim) + final)).Response(); err != nil || a.Status != 200 {
+		t.Errorf("after %d: %+v, %v", mostInterim, a, err)
+	}
+	if a, err := NewReader(strings.NewReader(strings.Repeat(interim, mostInterim+1) + final)).Response(); !errors.Is(err, ErrStartLine) {
+		t.Errorf("after one more: %+v, %v", a, err)
+	}
+}
+
 // Whatever comes, a message is read whole within its bounds or is an error, and no reading of it panics.
 func FuzzMessages(f *testing.F) {
 	for _, seed := range []string{
