Let a customer's terms change while it is served, by rules that gain nothing

Need: a member that upgrades in service stayed on the plan it was first seen with until it had been idle for a minute, and the plans' figures came once, at the start.

Change: requests may carry the customer's own terms, and an event tells those of a customer that is known. Stores keep what they hold, up to the new most; a slice keeps its part of the quota; a ceiling that is new lets through what the store held. Names of the counter hold a tag of the figures, so that totals of two quotas never meet in one slice.

Result: changes heard 0, 2 and 5 s apart, up and down, with the counter silent or not: slices of three gateways never sum to more than the larger quota (1.03 of it with rounding), and to within 2% of the new one from two cycles after the last has heard.

--- a/passhub/admission.go
+++ b/passhub/admission.go
@@ -1,21 +1,22 @@
 package passhub
 
-// This file: admission: whether a request is inside its quota, and what becomes of one that is not.
-
-import "math"
+import (
+	"cmp"
+	"math"
+)
 
 func (g *Gateway) request(e Request) {
 	if g.requests[e.ID] != nil {
 		return
 	}
-	class, plan := g.classes[e.Class], g.plans[e.Plan]
+	class, terms := g.classes[e.Class], cmp.Or(e.Terms, g.plans[e.Plan])
 	if class == nil { // not in the settings: safe to refuse, never to repeat
 		class = &Class{Aim: e.Left, Worth: 1}
 	}
-	if plan == nil { // not in the settings: no quota is known
-		plan = &Plan{Price: 1}
+	if terms == nil { // not in the settings: no quota is known
+		terms = &Terms{Plan: Plan{Price: 1}, Tag: "x"}
 	}
-	c := g.customer(e, plan)
+	c := g.customer(e, terms)
 	r := &request{Request: e, class: class, c: c, arrived: g.now, dueAt: g.now + e.Left}
 	r.aimAt = g.now + class.Aim - g.age(e, class)
 	g.requests[e.ID] = r
--- a/passhub/attempts.go
+++ b/passhub/attempts.go
@@ -1,7 +1,5 @@
 package passhub
 
-// This file: attempts: the first, the next, and what came of each.
-
 import (
 	"cmp"
 	"slices"
@@ -46,17 +44,12 @@
 }
 
 func (g *Gateway) start(r *request, b *backend) {
-	if c := r.c; len(r.attempts) == 0 && c.plan.CeilingRate > 0 {
-		// Ceiling: this gateway's part of rate, depth and slack is safe whatever the others do.
-		p := c.plan
-		c.ceiling = min((p.CeilingDepth+p.CeilingSlack)/c.doors,
-			c.ceiling+p.CeilingRate/c.doors*(g.now-c.ceilFill))
-		c.ceilFill = g.now
-		if c.ceiling < r.Units {
+	if c := r.c; len(r.attempts) == 0 {
+		if g.topUp(c); c.plan.CeilingRate > 0 && c.ceiling < r.Units {
 			g.refuse(r)
 			return
 		}
-		c.ceiling -= r.Units
+		c.ceiling = max(0, c.ceiling-r.Units)
 	}
 	timeout, rest := 0.0, r.aimAt-g.now
 	if r.class.Effect == Safe && r.class.LateWorth == 0 && rest > 0 && rest+tickEvery <= r.dueAt-g.now {
--- a/passhub/gateway.go
+++ b/passhub/gateway.go
@@ -1,7 +1,5 @@
 package passhub
 
-// This file: the gateway itself, its settings and its clock.
-
 import (
 	"math"
 	"math/rand/v2"
@@ -21,6 +19,7 @@
 	muteAfter, muteFor = 4, 1.0   // calls in a row without answer, then s without calls until one tries again
 	lostAfter          = 2.5      // s without an answer: lost, which tells nothing of what it takes
 	fastSpan           = 0.7      // s: spikes are over before a cycle tells of them
+	changeCycles       = 3        // after a change of terms, others may not have heard of it
 	idleLapse          = 60.0     // s without use after which a customer, or a backend gone, is forgotten
 
 	// Thin customers: see told.
@@ -71,7 +70,7 @@
 	now, ticked, started Seconds
 	out                  []Action
 	classes              map[string]*Class
-	plans                map[string]*Plan
+	plans                map[string]*Terms // by their names in the settings
 	backends             map[string]*backend
 	order                []*backend // in this gateway's own order of use: maps are never walked
 	customers            map[string]*customer
@@ -104,7 +103,7 @@
 // New returns a gateway. Equal settings, seed and events give equal actions.
 func New(s Settings, seed uint64) *Gateway {
 	g := &Gateway{
-		s: s, rng: rand.New(rand.NewPCG(seed, 1)), classes: map[string]*Class{}, plans: map[string]*Plan{},
+		s: s, rng: rand.New(rand.NewPCG(seed, 1)), classes: map[string]*Class{}, plans: map[string]*Terms{},
 		backends: map[string]*backend{}, customers: map[string]*customer{}, requests: map[uint64]*request{},
 		kinds: map[string]*float64{}, patience: map[string]Seconds{},
 		lat: latStart, size: 1, budget: budgetMost / 2, chance: 1, rated: 1, trials: reachLeast,
@@ -114,7 +113,7 @@
 		g.classes[s.Classes[i].Name] = &s.Classes[i]
 	}
 	for i := range s.Plans {
-		g.plans[s.Plans[i].Name] = &s.Plans[i]
+		g.plans[s.Plans[i].Name] = &Terms{Plan: s.Plans[i], Tag: s.Plans[i].Tag()}
 	}
 	return g
 }
@@ -131,6 +130,10 @@
 		g.list(e)
 	case Request:
 		g.request(e)
+	case Terms:
+		if c := g.customers[e.Customer]; c != nil {
+			g.replan(c, &e)
+		}
 	case ClientGone:
 		if r := g.requests[e.ID]; r != nil && !r.answered {
 			g.end(r)
--- a/passhub/passhub.go
+++ b/passhub/passhub.go
@@ -10,7 +10,10 @@
 //		}
 //	}
 //
-// This file is the interface; the decisions are in the other files, by concern.
+// This file is the interface. The decisions are by concern: admission.go, whether a request is inside its
+// quota and what becomes of one that is not; quotas.go, customers, their terms and slices, and the counter that
+// gateways share; attempts.go, the first, the next and what came of each; servers.go, which are used and how
+// much each may hold; gateway.go holds them together and has every constant.
 package passhub
 
 // Seconds is a time on the host's clock, or a span of it. The clock may begin anywhere.
@@ -114,6 +117,14 @@
 	Booted  Seconds // when it last started; 0: long ago
 }
 
+// Terms are what a customer has bought, as they hold now. As an event they change those of a customer that the
+// gateway knows; others are told with their requests. What a change carries over is said at replan.
+type Terms struct {
+	Customer string
+	Plan     Plan
+	Tag      string // one word for these figures at all gateways: totals are kept apart by it
+}
+
 // Request is a client's request; the gateway owes it exactly one answer.
 type Request struct {
 	ID       uint64
@@ -124,6 +135,7 @@
 	Units    float64 // it draws from the quota, perhaps a guess
 	Doors    int     // gateways this customer's requests may come through
 	Repeat   bool    // marked by the client as a repeat
+	Terms    *Terms  // the customer's own; nil: those of Plan in the settings
 }
 
 // ClientGone tells that a request has ended without an answer.
@@ -168,6 +180,7 @@
 func (Start) event()        {}
 func (Backends) event()     {}
 func (Request) event()      {}
+func (Terms) event()        {}
 func (ClientGone) event()   {}
 func (Timer) event()        {}
 func (AttemptEnded) event() {}
--- a/passhub/quotas.go
+++ b/passhub/quotas.go
@@ -1,8 +1,7 @@
 package passhub
 
-// This file: quotas: customers, their slices of a quota, and the counter that gateways share.
-
 import (
+	"cmp"
 	"hash/fnv"
 	"math"
 	"slices"
@@ -11,7 +10,8 @@
 )
 
 type customer struct {
-	key               string
+	key, tag          string // tag: of its terms
+	hash              uint32 // of its key
 	plan              *Plan
 	doors, quota      float64 // gateways it may use; what slices share: units a second, or attempts open
 	open              int     // attempts out
@@ -27,9 +27,9 @@
 	calls             int     // made in this cycle
 	R, k              float64 // last believed totals
 	totalAt, validFor Seconds // when they came, and how long they are believed
+	holdTill          Seconds // until then totals of fewer gateways than before are not believed
 
 	thin       bool    // a cycle's even share holds no request: each request is a report of its own
-	draw       float64 // 0 to 1 by its name, the same at all gateways
 	sum, ratio float64 // total of this cycle so far; the common ratio x/r by the last totals
 	share      float64 // of the demand that comes through this gateway, by the last totals
 	asks       []query
@@ -38,42 +38,90 @@
 // query is a request that waits for the counter's answer.
 type query struct {
 	r       *request
+	plan    *Plan
 	name    string
 	cycle   int64
 	at, add float64 // when, and how much it added
 	before  bool    // reads the total of the cycle before
 }
 
-func (g *Gateway) customer(e Request, plan *Plan) *customer {
+func (g *Gateway) customer(e Request, t *Terms) *customer {
 	c := g.customers[e.Customer]
 	if c == nil {
 		h := fnv.New32a()
 		h.Write([]byte(e.Customer))
-		c = &customer{key: e.Customer, plan: plan, since: g.now, filled: g.now, totalAt: math.Inf(-1)}
+		c = &customer{key: e.Customer, hash: h.Sum32(), since: g.now, filled: g.now, totalAt: math.Inf(-1)}
 		c.doors = float64(max(1, e.Doors))
-		if c.quota = plan.Rate; plan.Rate <= 0 {
-			c.quota = float64(plan.Open)
-		}
-		c.period = min(cycleMax, max(cycleMin, cycleUnits/c.quota)) // without a quota it does not matter
-		c.phase = float64(h.Sum32()%1024) / 1024 * c.period         // spreads the calls of a cycle over it
-		c.cycle = c.cycleAt(g.now)
-		c.draw = float64(h.Sum32()) / math.MaxUint32
+		g.adopt(c, t)
 		c.validFor = freshCycles * c.period
-		c.slice, c.level = c.quota/c.doors, plan.Burst+max(1, g.s.MaxUnits) // fill cuts it
+		c.slice, c.level = c.quota/c.doors, t.Plan.Burst+max(1, g.s.MaxUnits) // fill cuts it
 		c.share = 1 / c.doors
-		if plan.Rate > 0 {
-			c.thin = c.doors > 1 && c.quota*c.period/c.doors < thinUnits*max(1, g.s.MaxUnits)
-		} else {
-			c.thin = c.quota > 0 && c.doors > 2*c.quota
-		}
 		c.ceilFill = g.started // used up then: a gateway that was killed cannot know what it spent
 		g.customers[e.Customer] = c
 		g.known = append(g.known, c)
 	}
+	g.replan(c, t)
 	c.seen = g.now
 	return c
 }
 
+// adopt sets what follows from terms alone.
+func (g *Gateway) adopt(c *customer, t *Terms) {
+	c.plan, c.tag = &t.Plan, t.Tag
+	if c.quota = c.plan.Rate; c.quota <= 0 {
+		c.quota = float64(c.plan.Open)
+	}
+	c.period = min(cycleMax, max(cycleMin, cycleUnits/c.quota)) // without a quota it does not matter
+	c.phase = float64(c.hash%1024) / 1024 * c.period            // spreads the calls of a cycle over it
+	c.cycle = c.cycleAt(g.now)
+	if c.thin = c.quota > 0 && c.doors > 2*c.quota; c.plan.Rate > 0 {
+		c.thin = c.doors > 1 && c.quota*c.period/c.doors < thinUnits*max(1, g.s.MaxUnits)
+	}
+}
+
+// replan puts a customer on other terms. Stores keep what they hold, up to the new most, and a slice its part
+// of the quota: no change costs what was held, and none, often as it comes, gives a second burst. Gateways
+// hear at different times, and totals of one name are for one quota: k of the old name is put beyond all
+// gateways, which freezes slices there, and those here stay until as many report as before. So meanwhile all
+// slices never sum to more than the larger quota.
+func (g *Gateway) replan(c *customer, t *Terms) {
+	if c.tag == t.Tag {
+		return
+	}
+	g.topUp(c)
+	part := 1 / c.doors
+	if c.quota > 0 {
+		g.fill(c)
+		part = c.slice / c.quota
+	}
+	if field, _ := c.pack(); g.s.MayCount && g.now >= g.muted && !c.thin && c.doors > 1 && c.quota > 0 {
+		for n := range int64(changeCycles + 1) {
+			g.do(Count{c.name(c.cycleAt(g.now) + n), field * c.doors, (changeCycles+1)*c.period + 1})
+		}
+	}
+	if c.plan.CeilingRate > 0 {
+		c.level = min(c.level, c.ceiling) // what the ceiling kept back is not set free
+	} else {
+		c.ceiling = max(c.ceiling, c.level) // what the quota let through, a new ceiling does
+	}
+	g.adopt(c, t)
+	c.slice, c.filled, c.readAt, c.calls, c.sum = part*c.quota, g.now, 0, 0, 0
+	c.holdTill = g.now + changeCycles*c.period
+	if c.thin && c.ratio > 0 && c.R > 0 {
+		c.ratio = min(1, aimShare*g.rate(c)/c.R)
+	}
+}
+
+// topUp brings what this gateway's part of the ceiling still lets through up to now. Its part of rate, depth
+// and slack is safe whatever the others do.
+func (g *Gateway) topUp(c *customer) {
+	if p := c.plan; p.CeilingRate > 0 {
+		c.ceiling = min((p.CeilingDepth+p.CeilingSlack)/c.doors,
+			c.ceiling+p.CeilingRate/c.doors*(g.now-c.ceilFill))
+	}
+	c.ceilFill = g.now
+}
+
 // units is what a request counts against its quota.
 func (c *customer) units(r *request) float64 {
 	if c.plan.Rate <= 0 {
@@ -84,7 +132,7 @@
 
 // evenPart tells whether an attempt more is within the even part of an open limit: no sum passes it.
 func (g *Gateway) evenPart(c *customer) bool {
-	return c.plan.Rate <= 0 && (float64(c.open)+1)*c.doors <= c.quota
+	return c.plan.Rate <= 0 && float64(c.open+1)*c.doors <= c.quota
 }
 
 // fill brings the local store up to now. It holds the slice's share of the burst; that of a thin customer the
@@ -102,7 +150,9 @@
 
 func (c *customer) cycleAt(now Seconds) int64 { return int64(math.Floor((now - c.phase) / c.period)) }
 
-func (c *customer) name(cycle int64) string { return c.key + "/" + strconv.FormatInt(cycle, 36) }
+func (c *customer) name(cycle int64) string {
+	return c.key + "/" + strconv.FormatInt(cycle, 36) + "." + c.tag
+}
 
 func (g *Gateway) count(c *customer, cycle int64, add float64) {
 	g.do(Count{c.name(cycle), add, 2*c.period + 1})
@@ -163,19 +213,14 @@
 			g.muted = g.now + muteFor
 		}
 	}
-	c := g.customers[e.Name[:max(0, strings.LastIndexByte(e.Name, '/'))]]
-	if c == nil {
+	c := cmp.Or(g.customers[e.Name[:max(0, strings.LastIndexByte(e.Name, '/'))]], &customer{}) // forgotten
+	if i := slices.IndexFunc(c.asks, func(a query) bool { return a.name == e.Name }); i >= 0 {
+		a := c.asks[i]
+		c.asks = slices.Delete(c.asks, i, i+1)
+		g.told(c, a, e)
 		return
 	}
-	if c.thin {
-		if i := slices.IndexFunc(c.asks, func(a query) bool { return a.name == e.Name }); i >= 0 {
-			a := c.asks[i]
-			c.asks = slices.Delete(c.asks, i, i+1)
-			g.told(c, a, e)
-		}
-		return
-	}
-	if c.calls == 0 || c.name(c.cycle) != e.Name || e.Outcome != Done {
+	if c.thin || c.calls == 0 || c.name(c.cycle) != e.Name || e.Outcome != Done {
 		return
 	}
 	field, unit := c.pack()
@@ -189,7 +234,7 @@
 // settle sets the slice from totals, unless they cannot be true.
 func (g *Gateway) settle(c *customer, R, k float64) {
 	doubt := g.believed(c) && k < c.k && R < dropShare*c.R // counts lost? once only
-	if k < 1 || k > c.doors || R < c.r/2 {
+	if k < 1 || k > c.doors || R < c.r/2 || k < c.k && g.now < c.holdTill {
 		return
 	}
 	if c.R, c.k, c.totalAt = R, k, g.now; doubt || c.plan.Rate <= 0 {
@@ -207,7 +252,7 @@
 // take them all, some customers are not watched, the same ones at all gateways: half a total is noise.
 func (g *Gateway) callChance(c *customer, r *request) float64 {
 	least := min(1, c.units(r)/(weightMost*g.rate(c)*c.period))
-	if c.draw*least > g.chance && g.unheard < muteAfter { // else somebody must try whether it is back
+	if float64(c.hash)/math.MaxUint32*least > g.chance && g.unheard < muteAfter { // else who tries it?
 		return 0
 	}
 	return least + (1-least)*min(1, (g.now-c.totalAt)/c.validFor)*g.chance
@@ -223,7 +268,7 @@
 
 // ask adds a request to a cycle's total, or with 0 reads it, and lets the request wait for the answer.
 func (g *Gateway) ask(r *request, cycle int64, add float64) {
-	r.c.asks = append(r.c.asks, query{r, r.c.name(cycle), cycle, g.now, add, add == 0})
+	r.c.asks = append(r.c.asks, query{r, r.c.plan, r.c.name(cycle), cycle, g.now, add, add == 0})
 	g.count(r.c, cycle, add)
 }
 
@@ -237,7 +282,7 @@
 	if r.answered {
 		return
 	}
-	if e.Outcome != Done {
+	if e.Outcome != Done || a.plan != c.plan {
 		r.inside = g.inside(r)
 		g.admit(r)
 		return
@@ -281,13 +326,3 @@
 	}
 	g.admit(r)
 }
-
-// chanceUnder is the chance of fewer than n where mean are expected (Poisson).
-func chanceUnder(n int, mean float64) float64 {
-	p, sum := math.Exp(-mean), 0.0
-	for i := 0; i < n; i++ {
-		sum += p
-		p *= mean / float64(i+1)
-	}
-	return sum
-}
--- a/passhub/servers.go
+++ b/passhub/servers.go
@@ -1,7 +1,5 @@
 package passhub
 
-// This file: servers: which are used, how much each may hold, and what its answers tell.
-
 import (
 	"cmp"
 	"hash/fnv"
@@ -32,9 +30,7 @@
 		}
 	}
 	for _, row := range e.List {
-		if row.Size <= 0 {
-			row.Size = 1 // not told
-		}
+		row.Size = cmp.Or(max(0, row.Size), 1) // 0: not told
 		b := g.backends[row.ID]
 		if b == nil {
 			if g.kinds[row.Kind] == nil {
--- /dev/null
+++ b/passhub/terms.go
@@ -0,0 +1,16 @@
+package passhub
+
+import (
+	"fmt"
+	"hash/fnv"
+	"strconv"
+)
+
+// Tag is one word for a plan's figures, the same at all gateways where they are the same. The plan's name is
+// no part of it. It keeps the counter's totals of one quota apart from those of another.
+func (p Plan) Tag() string {
+	p.Name = ""
+	h := fnv.New32a()
+	fmt.Fprint(h, p)
+	return strconv.FormatUint(uint64(h.Sum32()), 36)
+}
--- /dev/null
+++ b/passhub/terms_test.go
@@ -0,0 +1,346 @@
+package passhub
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+)
+
+// member is some gateways around one counter, and one customer who asks at all of them. Each goes by the terms
+// that it has heard of.
+type member struct {
+	t        *testing.T
+	gateways []*Gateway
+	terms    []*Terms
+	m        counter
+	silent   bool // the counter is
+	now      Seconds
+	owed     []float64 // units asked for and not yet sent as a request, by gateway
+	sent     float64
+	answers  map[uint64]int
+	id       uint64
+}
+
+func newMember(t *testing.T, n int, terms *Terms) *member {
+	f := &member{t: t, m: counter{}, now: 100, owed: make([]float64, n), answers: map[uint64]int{}}
+	s := testSettings()
+	s.Balancers = n
+	for i := range n {
+		g := New(s, uint64(i+1))
+		g.Handle(f.now, Start{})
+		g.Handle(f.now, Backends{Complete: true, List: []Backend{up("x", 0), up("y", 0)}})
+		f.gateways, f.terms = append(f.gateways, g), append(f.terms, terms)
+	}
+	return f
+}
+
+// handle carries out all that a gateway asks for, at once.
+func (f *member) handle(g *Gateway, e Event) {
+	for _, a := range g.Handle(f.now, e) {
+		switch a := a.(type) {
+		case Count:
+			if told := f.m.add(a); f.silent {
+				f.handle(g, Counted{Name: a.Name, Outcome: TimedOut})
+			} else {
+				f.handle(g, told)
+			}
+		case Send:
+			f.sent++
+			f.answers[a.ID]++
+			f.handle(g, AttemptEnded{ID: a.ID, Backend: a.Backend, Outcome: Done, Settled: true, Took: 0.01})
+		case Refuse:
+			f.answers[a.ID]++
+		}
+	}
+}
+
+// play lets time pass, with so many units a second asked at each gateway, and looks after each tick.
+func (f *member) play(seconds float64, demand []float64, look func()) {
+	for end := f.now + seconds; f.now < end; f.now += tickEvery {
+		for i, g := range f.gateways {
+			f.handle(g, Timer{"tick"})
+			for f.owed[i] += demand[i] * tickEvery; f.owed[i] >= 1; f.owed[i]-- {
+				f.ask(i)
+			}
+		}
+		if look != nil {
+			look()
+		}
+	}
+}
+
+func (f *member) ask(i int) {
+	f.id++
+	f.handle(f.gateways[i], Request{ID: f.id, Class: "safe", Plan: "rate", Customer: "c", Left: 3, Units: 1,
+		Doors: len(f.gateways), Terms: f.terms[i]})
+}
+
+func (f *member) change(i int, t *Terms) {
+	f.terms[i] = t
+	e := *t
+	e.Customer = "c"
+	f.handle(f.gateways[i], e)
+}
+
+func (f *member) slices() (sum float64) {
+	for _, g := range f.gateways {
+		sum += g.customers["c"].slice
+	}
+	return sum
+}
+
+func terms(rate, burst float64) *Terms {
+	p := Plan{Rate: rate, Burst: burst, Price: 1, BeyondCosts: 1}
+	return &Terms{Plan: p, Tag: p.Tag()}
+}
+
+// A change that reaches three gateways apart from each other. Slices never sum to more than the larger quota while
+// they differ, and to the new one from two cycles after the last has heard.
+func TestChangeHeardAtDifferentTimes(t *testing.T) {
+	demands := map[string][]float64{"over": {90, 60, 30}, "between": {30, 25, 20}, "uneven": {100, 15, 22}}
+	for name, demand := range demands {
+		for _, to := range []float64{100, 30} { // from 60
+			for _, silent := range []bool{false, true} {
+				for _, delays := range [][]float64{{0, 2, 5}, {5, 0, 2}, {0, 0.4, 0.4}, {0, 0, 0}} {
+					t.Run(fmt.Sprintf("%s to %v silent %v %v", name, to, silent, delays), func(t *testing.T) {
+						old, new := terms(60, 120), terms(to, 2*to)
+						f := newMember(t, 3, old)
+						f.play(20, demand, nil)
+						worst, before, begun := 0.0, f.slices(), f.now
+						if f.gateways[0].customers["c"].thin || math.Abs(before-60) > 1.5 {
+							t.Fatalf("slices sum to %v before the change", before)
+						}
+						f.silent = silent
+						for f.now < begun+6 {
+							for i, d := range delays {
+								if f.terms[i] == old && f.now >= begun+d {
+									f.change(i, new)
+								}
+							}
+							f.play(tickEvery, demand, func() { worst = max(worst, f.slices()) })
+						}
+						f.silent = false
+						if most := max(60, to) * 1.03; worst > most {
+							t.Errorf("slices summed to %v, %v at most wanted", worst, most)
+						}
+						f.play(2*f.gateways[0].customers["c"].period+1, demand, nil)
+						if sum := f.slices(); math.Abs(sum-to) > 0.02*to {
+							t.Errorf("slices sum to %v two cycles after the last has heard, want %v", sum, to)
+						}
+						sent := f.sent
+						f.play(20, demand, nil)
+						least := min(to, demand[0]+demand[1]+demand[2])
+						if used := (f.sent - sent) / 20; used > 1.02*to || used < 0.95*least {
+							t.Errorf("%v units a second used, of a quota of %v and %v asked for", used, to, demand)
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+// One gateway never hears. For three cycles slices stay under the larger quota; then either side is pinned to its own.
+func TestChangeNeverHeardAtOneGateway(t *testing.T) {
+	for _, to := range []float64{100, 30} {
+		old, new := terms(60, 120), terms(to, 2*to)
+		f := newMember(t, 3, old)
+		demand := []float64{90, 60, 70}
+		f.play(20, demand, nil)
+		f.change(0, new)
+		f.change(1, new)
+		soon, late := 0.0, 0.0
+		f.play(3*f.gateways[0].customers["c"].period-0.5, demand, func() { soon = max(soon, f.slices()) })
+		f.play(40, demand, func() { late = max(late, f.slices()) })
+		if soon > 1.03*max(60, to) || late > 1.03*(60+to) {
+			t.Errorf("to %v: slices summed to %v, then to %v", to, soon, late)
+		}
+	}
+}
+
+func TestCustomerThatComesAsTheChangeDoes(t *testing.T) { // first request and change in one cycle
+	f := newMember(t, 3, terms(60, 120))
+	f.ask(0)
+	f.now += 0.1
+	for i := range f.gateways {
+		f.change(i, terms(30, 60)) // two of them do not know the customer yet
+	}
+	if f.gateways[1].customers["c"] != nil {
+		t.Error("a customer is kept that never asked")
+	}
+	f.play(20, []float64{40, 40, 40}, nil)
+	if sum := f.slices(); math.Abs(sum-30) > 0.6 {
+		t.Errorf("slices sum to %v, not 30", sum)
+	}
+}
+
+// However a member goes back and forth, it gets no more through than on the better plan all the time.
+func TestBackAndForthGainsNothing(t *testing.T) {
+	small := Plan{Rate: 10, Burst: 20, Price: 1, BeyondCosts: 1}
+	large := Plan{Rate: 30, Burst: 40, Price: 1, BeyondCosts: 1}
+	ceiling := Plan{Rate: 10, Burst: 20, Price: 1, ExcessWorth: 1, CeilingRate: 25, CeilingDepth: 40, CeilingSlack: 4}
+	lower := Plan{Rate: 5, Burst: 10, Price: 1, ExcessWorth: 1, CeilingRate: 12, CeilingDepth: 20, CeilingSlack: 2}
+	sent := func(every float64, plans ...Plan) float64 {
+		g := started(t, testSettings(), up("x", 0), up("y", 0))
+		n, id := 0.0, uint64(0)
+		for now := 50.0; now < 80; now += 0.01 {
+			p := plans[int(now/every)%len(plans)]
+			id++
+			r := ask(id, "safe", "rate")
+			r.Doors, r.Terms = 1, &Terms{Plan: p, Tag: p.Tag()}
+			for _, s := range of[Send](g.Handle(now, r)) {
+				n++
+				g.Handle(now, AttemptEnded{ID: s.ID, Backend: s.Backend, Outcome: Done, Settled: true, Took: 0.001})
+			}
+		}
+		return n
+	}
+	for _, pair := range [][2]Plan{{small, large}, {ceiling, lower}} {
+		best := max(sent(1, pair[0]), sent(1, pair[1]))
+		for _, every := range []float64{0.02, 0.1, 0.5, 1, 3} {
+			if got := sent(every, pair[0], pair[1]); got > best+1 {
+				t.Errorf("%v s on each of %v: %v sent, %v on the better one alone", every, pair, got, best)
+			}
+		}
+	}
+	// Between a plan with a ceiling and one without, what passes is under the ceiling's rate and depth and what the
+	// other plan lets through while it holds.
+	for _, every := range []float64{0.1, 0.5, 1, 3} {
+		if got, most := sent(every, ceiling, small), 25.0*30+44+20+10*30; got > most {
+			t.Errorf("%v s with a ceiling and without in turn: %v sent, %v at most", every, got, most)
+		}
+	}
+}
+
+func TestUpgradeKeepsWhatWasHeld(t *testing.T) {
+	plus := Plan{Rate: 30, Burst: 60, Price: 1, BeyondCosts: 1, CeilingRate: 60, CeilingDepth: 120, CeilingSlack: 6}
+	basic := Plan{Rate: 10, Burst: 20, Price: 1, BeyondCosts: 1}
+	g := started(t, testSettings(), up("x", 0))
+	g.now = 50
+	c := g.customer(Request{Customer: "c", Doors: 1}, &Terms{Plan: basic, Tag: "basic"})
+	c.filled, c.level = 50, 15
+	g.replan(c, &Terms{Plan: plus, Tag: "plus"})
+	if c.level != 15 || c.ceiling < 15 || c.slice != 30 {
+		t.Errorf("level %v, ceiling %v, slice %v after the upgrade", c.level, c.ceiling, c.slice)
+	}
+	c.ceiling, c.ceilFill = 100, 50
+	g.replan(c, &Terms{Plan: basic, Tag: "basic"})
+	if c.level != 15 || c.slice != 10 { // no second burst, and what was spared is not lost
+		t.Errorf("level %v, slice %v after the downgrade", c.level, c.slice)
+	}
+}
+
+func TestCeilingLoweredBelowWhatTheStoreHolds(t *testing.T) {
+	high := Plan{Rate: 30, Burst: 60, Price: 1, CeilingRate: 60, CeilingDepth: 120, CeilingSlack: 6}
+	low := Plan{Rate: 5, Burst: 10, Price: 1, CeilingRate: 6, CeilingDepth: 12, CeilingSlack: 1}
+	g := started(t, testSettings(), up("x", 0))
+	g.now = 50
+	c := g.customer(Request{Customer: "c", Doors: 2}, &Terms{Plan: high, Tag: "high"})
+	c.level, c.filled, c.ceiling, c.ceilFill = -3, 50, 60, 50 // true units were more than guessed: it owes
+	g.replan(c, &Terms{Plan: low, Tag: "low"})
+	g.topUp(c)
+	if c.level != -3 || c.ceiling != 6.5 {
+		t.Errorf("level %v, ceiling %v; the debt stays, the ceiling is the new one at once", c.level, c.ceiling)
+	}
+}
+
+// Thin customers: each request is a report of its own, and some are out as the change comes. Their use is held by
+// chance, so it is compared with that of a fleet that has been on the new terms all along.
+func TestChangeOfThinCustomers(t *testing.T) {
+	const n, seconds = 12, 2000
+	demand := make([]float64, n)
+	for i := range demand {
+		demand[i] = 40.0 / n
+	}
+	for _, to := range []float64{20, 5} {
+		always, f := newMember(t, n, terms(to, 2*to)), newMember(t, n, terms(10, 20))
+		f.play(20, demand, nil)
+		always.play(20, demand, nil)
+		if !f.gateways[0].customers["c"].thin {
+			t.Fatal("not thin")
+		}
+		begun := f.sent
+		for i := range f.gateways { // heard over five seconds
+			f.change(i, terms(to, 2*to))
+			f.play(5.0/n, demand, nil)
+		}
+		if most := 5*(10+to) + 2*max(10, to); f.sent-begun > most {
+			t.Errorf("to %v: %v sent while gateways differ, %v at most", to, f.sent-begun, most)
+		}
+		f.play(2*f.gateways[0].customers["c"].period, demand, nil)
+		sent, control := f.sent, always.sent
+		f.play(seconds, demand, nil)
+		always.play(seconds, demand, nil)
+		used, want := (f.sent-sent)/seconds, (always.sent-control)/seconds
+		t.Logf("to %v: %v units a second used after the change, %v without one", to, used, want)
+		if math.Abs(used-want) > 0.02*to {
+			t.Errorf("to %v: %v units a second used after the change, %v without one", to, used, want)
+		}
+		for id := range f.id {
+			if f.answers[id+1] != 1 {
+				t.Fatalf("request %d has %d answers", id+1, f.answers[id+1])
+			}
+		}
+	}
+}
+
+func TestRequestThatWaitsForTheCounterAsTheTermsChange(t *testing.T) {
+	g := started(t, testSettings(), up("x", 0))
+	r := ask(1, "safe", "rate")
+	r.Doors = 50
+	calls := of[Count](g.Handle(1, r))
+	if len(calls) != 1 {
+		t.Fatalf("%d calls", len(calls))
+	}
+	out := g.Handle(1.01, Terms{Customer: "c", Plan: Plan{Rate: 5000, Burst: 5000, Price: 1}, Tag: "other"})
+	out = append(out, g.Handle(1.02, Counted{Name: calls[0].Name, Outcome: Done, Total: 1})...)
+	if len(of[Send](out))+len(of[Refuse](out)) != 1 {
+		t.Errorf("%v: one answer or attempt wanted", out)
+	}
+}
+
+// A member without a quota, one with a limit on attempts and one with a rate, in all orders, by chance.
+func TestChangesAmongAllKindsOfPlans(t *testing.T) {
+	s := testSettings()
+	kinds := []Plan{{Price: 1}, {Open: 3, Price: 1}, {Rate: 10, Burst: 20, Price: 1}, {Rate: 5000, Burst: 9000, Price: 1},
+		{Rate: 10, Burst: 20, Price: 1, CeilingRate: 20, CeilingDepth: 40, CeilingSlack: 4}}
+	rng := rand.New(rand.NewPCG(5, 5))
+	g := started(t, s, up("x", 0))
+	m, answered, id := counter{}, map[uint64]int{}, uint64(0)
+	var handle func(now Seconds, e Event)
+	handle = func(now Seconds, e Event) {
+		for _, a := range g.Handle(now, e) {
+			switch a := a.(type) {
+			case Count:
+				handle(now, m.add(a))
+			case Send:
+				answered[a.ID]++
+				handle(now, AttemptEnded{ID: a.ID, Backend: a.Backend, Outcome: Done, Settled: true, Took: 0.01})
+			case Refuse:
+				answered[a.ID]++
+			}
+		}
+	}
+	for now := 1.0; now < 200; now += 0.05 {
+		handle(now, Timer{"tick"})
+		p := kinds[rng.IntN(len(kinds))]
+		if rng.IntN(3) == 0 {
+			handle(now, Terms{Customer: "c", Plan: p, Tag: p.Tag()})
+			continue
+		}
+		id++
+		r := ask(id, "safe", "free")
+		r.Doors, r.Terms = 8, &Terms{Plan: p, Tag: p.Tag()}
+		handle(now, r)
+		if c := g.customers["c"]; math.IsNaN(c.level+c.slice+c.ceiling+c.ratio+c.share) || c.slice < 0 {
+			t.Fatalf("level %v, slice %v, ceiling %v, ratio %v, share %v", c.level, c.slice, c.ceiling, c.ratio, c.share)
+		}
+	}
+	handle(201, Timer{"tick"})
+	for i := range id {
+		if answered[i+1] != 1 {
+			t.Fatalf("request %d has %d answers", i+1, answered[i+1])
+		}
+	}
+}
