--- /dev/null
+++ b/internal/attempt/desk.go
@@ -0,0 +1,219 @@
+package attempt
+
+import (
+	"fmt"
+
+	"mulleinrouter/passhub"
+)
+
+// Kind is what is to be done with a request.
+type Kind int
+
+// The kinds. Refuse, Fail and Gone are the last word on a request.
+const (
+	Send   Kind = iota // start an attempt, tell Ended what came of it
+	Refuse             // answer that trying again does no harm
+	Fail               // answer that it was not served and may have run
+	Gone               // answer nothing: nobody waits
+)
+
+var kinds = [...]string{"send", "refuse", "fail", "gone"}
+
+func (k Kind) String() string { return kinds[k] }
+
+// Decision is what the module decided for a request.
+type Decision struct {
+	Kind       Kind
+	Backend    string          // of a Send
+	Until      passhub.Seconds // when to give a Send up, module time
+	RetryAfter passhub.Seconds // of a Refuse; 0: no advice
+	Beyond     bool            // of a Send: the request is beyond its quota
+}
+
+// Request is one in the module's hands.
+type Request struct {
+	Host any // whoever waits for its decisions; the desk does not look at it
+
+	id       uint64
+	life     Life
+	deadline passhub.Seconds
+	sent     passhub.Seconds
+	backend  string
+}
+
+// ID names it to the module.
+func (r *Request) ID() uint64 { return r.id }
+
+// Life is where it is in its life, to look at.
+func (r *Request) Life() Life { return r.life }
+
+// Effect is something to be done, in order.
+type Effect interface{ effect() }
+
+// Tell tells a decision to the request's host.
+type Tell struct {
+	Request  *Request
+	Decision Decision
+}
+
+// Stop stops the attempt that is out, unless it has ended meanwhile: it is the one with this number.
+type Stop struct {
+	Request *Request
+	Attempt int
+}
+
+// Timer asks for the module's timer.
+type Timer struct{ passhub.SetTimer }
+
+// Count asks for a call of the counter.
+type Count struct{ passhub.Count }
+
+// Illegal tells of a step that a request's life does not have. A safe one was taken in its place.
+type Illegal struct {
+	Request *Request
+	Err     error
+}
+
+func (Tell) effect()    {}
+func (Stop) effect()    {}
+func (Timer) effect()   {}
+func (Count) effect()   {}
+func (Illegal) effect() {}
+
+// Desk holds the module and the requests in its hands. It is not safe for use by several goroutines at once.
+type Desk struct {
+	gateway *passhub.Gateway
+	most    int
+	once    map[string]bool // classes that must not run twice
+	wrong   map[string]bool // of these, those where a client's repeat may run again
+	open    map[uint64]*Request
+	last    uint64
+	out     []Effect
+}
+
+// NewDesk returns a desk around a gateway that nobody else uses. The settings are the gateway's.
+func NewDesk(g *passhub.Gateway, s *passhub.Settings) *Desk {
+	d := &Desk{gateway: g, most: max(1, s.MaxAttempts), once: map[string]bool{}, wrong: map[string]bool{}, open: map[uint64]*Request{}}
+	for _, c := range s.Classes {
+		d.once[c.Name] = c.Effect != passhub.Safe
+		d.wrong[c.Name] = c.Effect == passhub.Unsafe || c.Effect == passhub.Keyed && c.Scope != passhub.ScopeAll
+	}
+	return d
+}
+
+// Open is how many requests are in hand.
+func (d *Desk) Open() int { return len(d.open) }
+
+// Submit takes a request. Its id is given here.
+func (d *Desk) Submit(now passhub.Seconds, r passhub.Request, host any) (*Request, []Effect) {
+	d.last++
+	r.ID = d.last
+	q := &Request{Host: host, id: d.last, deadline: now + r.Left, life: Life{Once: d.once[r.Class], Wrong: d.wrong[r.Class], Most: d.most}}
+	d.open[q.id] = q
+	return q, d.Handle(now, r)
+}
+
+// Ended tells how the attempt that was decided on last has ended. After Done no decision follows: the answer is the
+// client's.
+func (d *Desk) Ended(now passhub.Seconds, q *Request, o passhub.Outcome) []Effect {
+	d.out = nil
+	gone := q.life.phase == Deserted
+	over, err := q.life.Ended(o)
+	if err != nil {
+		d.out = append(d.out, Illegal{q, err})
+		return d.out
+	}
+	if over {
+		delete(d.open, q.id)
+	}
+	d.handle(now, passhub.AttemptEnded{ID: q.id, Attempt: q.life.attempts - 1, Backend: q.backend, Outcome: o, Took: now - q.sent, Settled: over})
+	if gone {
+		d.out = append(d.out, Tell{q, Decision{Kind: Gone}})
+	}
+	return d.out
+}
+
+// Leave tells that nobody waits for the answer any more. An attempt that is out is still to be told of.
+func (d *Desk) Leave(now passhub.Seconds, q *Request) []Effect {
+	d.out = nil
+	before := q.life.phase
+	if before != Waiting && before != Out {
+		return nil
+	}
+	over := q.life.Leave()
+	if over {
+		delete(d.open, q.id)
+	}
+	d.handle(now, passhub.ClientGone{ID: q.id})
+	if over {
+		d.out = append(d.out, Tell{q, Decision{Kind: Gone}})
+	}
+	return d.out
+}
+
+// Handle gives the module an event.
+func (d *Desk) Handle(now passhub.Seconds, e passhub.Event) []Effect {
+	d.out = nil
+	d.handle(now, e)
+	return d.out
+}
+
+func (d *Desk) handle(now passhub.Seconds, e passhub.Event) {
+	for _, action := range d.gateway.Handle(now, e) {
+		switch a := action.(type) {
+		case passhub.Send:
+			d.send(now, a)
+		case passhub.Refuse:
+			if q := d.open[a.ID]; q != nil && q.life.phase != Deserted {
+				d.say(q, q.life.Refuse(), Decision{Kind: Refuse, RetryAfter: a.RetryAfter})
+			}
+		case passhub.Fail:
+			if q := d.open[a.ID]; q != nil && q.life.phase != Deserted {
+				d.say(q, q.life.Fail(), Decision{Kind: Fail})
+			}
+		case passhub.Cancel:
+			if q := d.open[a.ID]; q != nil && q.life.MayHaveRun() && a.Attempt == q.life.attempts-1 {
+				d.out = append(d.out, Stop{q, a.Attempt})
+			}
+		case passhub.SetTimer:
+			d.out = append(d.out, Timer{a})
+		case passhub.Count:
+			d.out = append(d.out, Count{a})
+		}
+	}
+}
+
+// send takes up the decision to make an attempt. One that must not be made is told to the module as never made.
+func (d *Desk) send(now passhub.Seconds, a passhub.Send) {
+	q := d.open[a.ID]
+	if q == nil {
+		return
+	}
+	if err := q.life.Send(); err != nil {
+		d.out = append(d.out, Illegal{q, err})
+		if q.life.phase == Waiting {
+			d.say(q, q.life.Fail(), Decision{Kind: Fail})
+		}
+		return
+	}
+	q.backend, q.sent = a.Backend, now
+	until := q.deadline
+	if a.Timeout > 0 {
+		until = min(until, now+a.Timeout)
+	}
+	d.out = append(d.out, Tell{q, Decision{Kind: Send, Backend: a.Backend, Until: until, Beyond: a.Beyond}})
+}
+
+// say says the last word on a request. A refusal that would lie becomes a failure.
+func (d *Desk) say(q *Request, err error, word Decision) {
+	if err != nil {
+		d.out = append(d.out, Illegal{q, fmt.Errorf("%v: %w", word.Kind, err)})
+		if q.life.phase != Waiting {
+			return
+		}
+		q.life.Fail()
+		word = Decision{Kind: Fail}
+	}
+	delete(d.open, q.id)
+	d.out = append(d.out, Tell{q, word})
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -8,6 +8,9 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"mulleinrouter/internal/attempt"
 	"mulleinrouter/passhub"
 )
 
@@ -25,6 +28,11 @@
 	return &Clock{base: now, unix: float64(now.UnixNano()) / 1e9}
 }
 
+// Time is the time of a moment of the module's.
+func (c *Clock) Time(at passhub.Seconds) time.Time {
+	return c.base.Add(time.Duration((at - c.unix) * float64(time.Second)))
+}
+
 // Now is the module's time.
 func (c *Clock) Now() passhub.Seconds { return c.unix + time.Since(c.base).Seconds() }
 
@@ -35,14 +43,14 @@
 }
 
 // Kind is what is to be done with a request.
-type Kind int
+type Kind = attempt.Kind
 
-// The kinds. Refuse, Fail and Gone are the last decision on a request.
+// The kinds. Refuse, Fail and Gone are the last word on a request.
 const (
-	Send   Kind = iota // start an attempt, tell Ended what came of it
-	Refuse             // answer that trying again does no harm
-	Fail               // answer that it was not served and may have run
-	Gone               // answer nothing: nobody waits
+	Send   = attempt.Send
+	Refuse = attempt.Refuse
+	Fail   = attempt.Fail
+	Gone   = attempt.Gone
 )
 
 // Decision is what the module decided for a request.
@@ -67,22 +75,22 @@
 	InForce(now passhub.Seconds) uint64
 }
 
-// Engine owns the gateway.
+// Engine owns the desk at which the gateway and the requests in its hands are.
 type Engine struct {
+	Log *logrus.Logger // of steps that a request's life does not have; nil: none. It is set before Start.
+
 	clock   *Clock
 	counter Counter
 
 	mu        sync.Mutex
-	gateway   *passhub.Gateway
-	tickets   map[uint64]*Ticket
-	last      uint64
+	desk      *attempt.Desk
 	catalogue Catalogue   // nil: none, plans are those of the settings
 	due       *time.Timer // for what the catalogue has next
 }
 
-// New returns an engine around a gateway that nobody else uses.
-func New(gateway *passhub.Gateway, clock *Clock) *Engine {
-	return &Engine{gateway: gateway, clock: clock, tickets: map[uint64]*Ticket{}}
+// New returns an engine around a gateway that nobody else uses. The settings are the gateway's.
+func New(gateway *passhub.Gateway, settings *passhub.Settings, clock *Clock) *Engine {
+	return &Engine{desk: attempt.NewDesk(gateway, settings), clock: clock}
 }
 
 // Start gives the gateway its first event. Counter may be nil where the deployment has none.
@@ -110,13 +118,13 @@
 }
 
 // told tells the module which terms have changed, and comes back when the next ones do. The mutex is held.
-func (e *Engine) told() (later []passhub.Action) {
+func (e *Engine) told() (later []attempt.Effect) {
 	if e.catalogue == nil {
 		return nil
 	}
 	now := e.clock.Now()
 	for _, t := range e.catalogue.Due(now) {
-		later = append(later, e.locked(t)...)
+		later = append(later, e.decide(e.desk.Handle(now, t))...)
 	}
 	if e.due != nil {
 		e.due.Stop()
@@ -141,37 +149,27 @@
 	Plan     string // by which it is decided: the member's in the catalogue, or the one that the client named
 	Revision uint64 // of the catalogue; 0: none
 
-	engine   *Engine
-	id       uint64
-	deadline time.Time
-	cancel   func()
-	next     chan Decision
-
-	// Guarded by the engine's mutex.
-	out     bool // an attempt is out, or decided on
-	attempt int  // its number
-	sent    time.Time
-	backend string
-	over    bool // no answer is owed any more
+	engine  *Engine
+	request *attempt.Request
+	cancel  func()
+	next    chan Decision
 }
 
 // Submit hands a request to the gateway. Cancel is called, perhaps from another goroutine, when the
 // attempt that is out is to be stopped.
 func (e *Engine) Submit(r passhub.Request, cancel func()) *Ticket {
-	left := time.Duration(r.Left * float64(time.Second))
-	t := &Ticket{engine: e, deadline: time.Now().Add(left), cancel: cancel, attempt: -1,
+	t := &Ticket{engine: e, cancel: cancel, Plan: r.Plan,
 		next: make(chan Decision, 2)} // a Send not yet taken up, and the Gone behind it
 	e.mu.Lock()
-	e.last++
-	t.id, r.ID, t.Plan = e.last, e.last, r.Plan
+	now := e.clock.Now()
 	if e.catalogue != nil {
-		now := e.clock.Now()
 		if r.Terms = e.catalogue.Terms(r.Customer, r.Plan, now); r.Terms != nil {
 			t.Plan, t.Revision = r.Terms.Plan.Name, e.catalogue.InForce(now)
 		}
 	}
-	e.tickets[t.id] = t
-	later := e.locked(r)
+	var effects []attempt.Effect
+	t.request, effects = e.desk.Submit(now, r, t)
+	later := e.decide(effects)
 	e.mu.Unlock()
 	e.carryOut(later)
 	return t
@@ -183,107 +181,68 @@
 // Ended tells how the attempt that the last decision asked for ended. After Done no decision follows:
 // the answer is the client's.
 func (t *Ticket) Ended(outcome passhub.Outcome) {
-	e := t.engine
-	e.mu.Lock()
-	t.out = false
-	gone := t.over
-	t.over = t.over || outcome == passhub.Done
-	later := e.locked(passhub.AttemptEnded{
-		ID: t.id, Attempt: t.attempt, Backend: t.backend, Outcome: outcome,
-		Took: time.Since(t.sent).Seconds(), Settled: t.over,
-	})
-	if t.over {
-		delete(e.tickets, t.id)
-	}
-	if gone {
-		t.next <- Decision{Kind: Gone}
-	}
-	e.mu.Unlock()
-	e.carryOut(later)
+	t.engine.do(func(now passhub.Seconds) []attempt.Effect { return t.engine.desk.Ended(now, t.request, outcome) })
 }
 
 // Leave tells that nobody waits for the answer any more. An attempt that is out is still to be told of.
 func (t *Ticket) Leave() {
-	e := t.engine
-	e.mu.Lock()
-	if t.over {
-		e.mu.Unlock()
-		return
-	}
-	t.over = true
-	later := e.locked(passhub.ClientGone{ID: t.id})
-	if !t.out {
-		delete(e.tickets, t.id)
-		t.next <- Decision{Kind: Gone}
-	}
-	e.mu.Unlock()
-	e.carryOut(later)
+	t.engine.do(func(now passhub.Seconds) []attempt.Effect { return t.engine.desk.Leave(now, t.request) })
 }
 
 func (e *Engine) handle(event passhub.Event) {
+	e.do(func(now passhub.Seconds) []attempt.Effect { return e.desk.Handle(now, event) })
+}
+
+// do has something happen at the desk, under the mutex, and carries out what comes of it.
+func (e *Engine) do(happen func(now passhub.Seconds) []attempt.Effect) {
 	e.mu.Lock()
-	later := e.locked(event)
+	later := e.decide(happen(e.clock.Now()))
 	e.mu.Unlock()
 	e.carryOut(later)
 }
 
-// locked gives the gateway an event and routes its actions. Those that reach outside are returned, to
-// be carried out once the mutex is free.
-func (e *Engine) locked(event passhub.Event) (later []passhub.Action) {
-	now := e.clock.Now()
-	for _, action := range e.gateway.Handle(now, event) {
-		switch a := action.(type) {
-		case passhub.Send:
-			if t := e.tickets[a.ID]; t != nil {
-				t.out, t.backend, t.sent = true, a.Backend, time.Now()
-				t.attempt++
-				until := t.deadline
-				if a.Timeout > 0 {
-					if cut := t.sent.Add(time.Duration(a.Timeout * float64(time.Second))); cut.Before(until) {
-						until = cut
-					}
-				}
-				t.next <- Decision{Kind: Send, Backend: a.Backend, Until: until, Beyond: a.Beyond}
-			}
-		case passhub.Refuse:
-			e.finish(a.ID, Decision{Kind: Refuse, RetryAfter: a.RetryAfter})
-		case passhub.Fail:
-			e.finish(a.ID, Decision{Kind: Fail})
-		default:
-			later = append(later, action)
+// decide tells decisions to those who wait for them, the mutex held: they must come in the order in which they were
+// made. What reaches outside is returned, to be carried out once the mutex is free.
+func (e *Engine) decide(effects []attempt.Effect) (later []attempt.Effect) {
+	for _, effect := range effects {
+		tell, ok := effect.(attempt.Tell)
+		if !ok {
+			later = append(later, effect)
+			continue
+		}
+		d := tell.Decision
+		told := Decision{Kind: d.Kind, Backend: d.Backend, Beyond: d.Beyond, RetryAfter: d.RetryAfter}
+		if d.Kind == Send {
+			told.Until = e.clock.Time(d.Until)
 		}
+		tell.Request.Host.(*Ticket).next <- told
 	}
 	return later
 }
 
-func (e *Engine) finish(id uint64, d Decision) {
-	if t := e.tickets[id]; t != nil && !t.over {
-		t.over = true
-		delete(e.tickets, id)
-		t.next <- d
-	}
-}
-
-func (e *Engine) carryOut(actions []passhub.Action) {
-	for _, action := range actions {
-		switch a := action.(type) {
-		case passhub.Cancel:
+func (e *Engine) carryOut(effects []attempt.Effect) {
+	for _, effect := range effects {
+		switch a := effect.(type) {
+		case attempt.Stop:
 			e.mu.Lock()
-			t := e.tickets[a.ID]
-			stop := t != nil && t.out && t.attempt == a.Attempt
+			life := a.Request.Life()
 			e.mu.Unlock()
-			if stop {
-				t.cancel()
+			if p := life.Phase(); (p == attempt.Out || p == attempt.Deserted) && life.Attempts() == a.Attempt+1 {
+				a.Request.Host.(*Ticket).cancel()
 			}
-		case passhub.SetTimer:
+		case attempt.Timer:
 			wait := time.Duration((a.At - e.clock.Now()) * float64(time.Second))
 			time.AfterFunc(max(0, wait), func() { e.handle(passhub.Timer{Token: a.Token}) })
-		case passhub.Count:
+		case attempt.Count:
 			if e.counter == nil {
 				e.Counted(a.Name, passhub.Refused, 0)
 				continue
 			}
 			e.counter.Add(a.Name, a.Add, a.Keep)
+		case attempt.Illegal:
+			if e.Log != nil {
+				e.Log.WithField("code", "attempt-illegal").WithError(a.Err).Error("a step that a request's life does not have; a safe one was taken")
+			}
 		}
 	}
 }
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -29,7 +29,7 @@
 func started(c Counter) *Engine { return startedWith(settings(), c) }
 
 func startedWith(s passhub.Settings, c Counter) *Engine {
-	e := New(passhub.New(s, 1), NewClock())
+	e := New(passhub.New(s, 1), &s, NewClock())
 	e.Start(c)
 	e.Backends(passhub.Backends{Complete: true, List: []passhub.Backend{{ID: "b", Serving: true, Size: 1}}})
 	return e
@@ -70,8 +70,8 @@
 			if diff := cmp.Diff(tc.want, got, noTimes); diff != "" {
 				t.Error(diff)
 			}
-			if len(e.tickets) != 0 || len(ticket.next) != 0 {
-				t.Errorf("%d requests and %d decisions left behind", len(e.tickets), len(ticket.next))
+			if e.desk.Open() != 0 || len(ticket.next) != 0 {
+				t.Errorf("%d requests and %d decisions left behind", e.desk.Open(), len(ticket.next))
 			}
 		})
 	}
@@ -84,12 +84,12 @@
 	ticket.Next()
 	ticket.Leave()
 	ticket.Leave() // once is enough
-	if cancelled != 1 || len(e.tickets) != 1 {
-		t.Errorf("cancelled %d times, %d requests kept; want 1 and 1", cancelled, len(e.tickets))
+	if cancelled != 1 || e.desk.Open() != 1 {
+		t.Errorf("cancelled %d times, %d requests kept; want 1 and 1", cancelled, e.desk.Open())
 	}
 	ticket.Ended(passhub.Cancelled)
-	if diff := cmp.Diff(Decision{Kind: Gone}, ticket.Next()); diff != "" || len(e.tickets) != 0 {
-		t.Errorf("%d requests kept\n%s", len(e.tickets), diff)
+	if diff := cmp.Diff(Decision{Kind: Gone}, ticket.Next()); diff != "" || e.desk.Open() != 0 {
+		t.Errorf("%d requests kept\n%s", e.desk.Open(), diff)
 	}
 }
 
@@ -105,8 +105,8 @@
 		t.Error(diff)
 	}
 	e.Counted(name, passhub.Done, 1)
-	if len(e.tickets) != 0 {
-		t.Errorf("%d requests kept", len(e.tickets))
+	if e.desk.Open() != 0 {
+		t.Errorf("%d requests kept", e.desk.Open())
 	}
 }
 
@@ -139,7 +139,8 @@
 		small := passhub.Plan{Name: "small", Rate: 0.001, Burst: 1, Price: 1, BeyondCosts: 1}
 		large := passhub.Plan{Name: "large", Rate: 1e9, Burst: 1e9, Price: 1, BeyondCosts: 1}
 		clock := NewClock()
-		e := New(passhub.New(settings(), 1), clock)
+		s := settings()
+		e := New(passhub.New(s, 1), &s, clock)
 		e.Start(nil)
 		e.Backends(passhub.Backends{Complete: true, List: []passhub.Backend{{ID: "b", Serving: true, Size: 1}}})
 		state := plans.NewState(settings().Plans)
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -30,7 +30,7 @@
 			Classes: []passhub.Class{{Name: "send", Aim: 20, Deadline: 30, Worth: 1}},
 			Plans:   []passhub.Plan{{Name: "plus", Rate: 1000, Burst: 1000, Price: 1}},
 		}
-		e := engine.New(passhub.New(settings, 1), engine.NewClock())
+		e := engine.New(passhub.New(settings, 1), &settings, engine.NewClock())
 		e.Start(nil)
 		e.Backends(passhub.Backends{Complete: true, List: []passhub.Backend{{ID: "s-1", Serving: true, Size: 1}}})
 		pool := upstream.New(func(string) (string, bool) { return p.Addr("server"), true },
--- /dev/null
+++ b/internal/link/hold.go
@@ -0,0 +1,52 @@
+package link
+
+import "mulleinrouter/passhub"
+
+// A request may be written in two parts, the last byte some milliseconds after the rest: a server that has forgotten
+// a connection answers the first part with a reset, and with the last byte still here that proves that nothing ran. The
+// hold costs its time on each request. It is made where it can prove something:
+//
+//   - on connections to a server that lost one unawares a moment ago, for whatever reason: it restarts, is full, or
+//     forgets connections sooner than it says;
+//   - before a request that must not run twice: without a proof, its client is told that it failed;
+//   - on a connection that has been idle for long. A read that is lost with it is sent again, and the loss is remembered.
+const (
+	lostFor  = 10.0 // s for which a lost connection tells of the others to its server
+	idleLong = 1.0  // s: one that answered later than this ago may have been forgotten
+)
+
+// Evidence is what is known of a connection and a request before that is written.
+type Evidence struct {
+	Fresh bool            // nothing has been answered on the connection
+	Idle  passhub.Seconds // since it last answered
+	Once  bool            // the request must not run twice
+}
+
+// Memory remembers which servers lost connections unawares, and when. It is not safe for use by several goroutines at
+// once.
+type Memory struct{ lost map[string]passhub.Seconds }
+
+// Lost tells of a connection that ended without a word while it was idle, or as a request came on it.
+func (m *Memory) Lost(server string, now passhub.Seconds) {
+	if m.lost == nil {
+		m.lost = map[string]passhub.Seconds{}
+	}
+	m.lost[server] = now
+}
+
+// Hold tells whether the last byte of a request is to be held back.
+func (m *Memory) Hold(server string, now passhub.Seconds, e Evidence) bool {
+	if at, ok := m.lost[server]; ok && now-at < lostFor {
+		return true
+	}
+	return e.Once || !e.Fresh && e.Idle > idleLong
+}
+
+// Forget drops what is too old to tell anything.
+func (m *Memory) Forget(now passhub.Seconds) {
+	for server, at := range m.lost {
+		if now-at >= lostFor {
+			delete(m.lost, server)
+		}
+	}
+}
--- /dev/null
+++ b/internal/link/link.go
@@ -0,0 +1,175 @@
+// Package link is the life of a connection to a quote server, and the shelf on which idle ones are kept. It is written
+// as a machine that serving code runs on and that an explorer drives through every order of events. It does no I/O,
+// reads no clock and starts no goroutine.
+package link
+
+import (
+	"errors"
+	"fmt"
+
+	"mulleinrouter/passhub"
+)
+
+// State is where in its life a connection is.
+type State uint8
+
+// The states. On a connection that is Ended nothing more is written or read.
+const (
+	Idle     State = iota // up; no request is on it
+	Writing               // a request goes out; its last byte has not
+	Awaiting              // a request has been written whole, its answer is awaited
+	Ended
+)
+
+var states = [...]string{"idle", "writing", "awaiting", "ended"}
+
+func (s State) String() string { return states[s] }
+
+// ErrState tells of an event that a connection's state does not have: the host's mistake.
+var ErrState = errors.New("not in this state")
+
+// Trouble is how a connection failed.
+type Trouble uint8
+
+// The troubles.
+const (
+	Broke     Trouble = iota // it ended or was reset
+	Late                     // the time for the attempt ran out
+	Cancelled                // the attempt was given up from here
+	Malformed                // what came is no answer
+)
+
+// Answer is what a server's answer says.
+type Answer struct {
+	Status       int
+	NotProcessed bool // X-Not-Processed: 1
+	Close        bool // the server ends the connection with it
+	More         bool // bytes came behind it: they answer nothing
+}
+
+// Verdict is how an attempt on a connection ended, and what becomes of the connection.
+type Verdict struct {
+	Outcome  passhub.Outcome
+	Answered bool   // a whole answer came to a request that was written whole: it had arrived
+	Again    bool   // the next connection may be tried for the same attempt: nothing of it has run
+	Keep     bool   // the connection goes back on the shelf
+	Code     string // of the log line, where it does not
+}
+
+// Link is the machine of one connection. Its zero value is one that has just come up.
+type Link struct {
+	state State
+	uses  int
+}
+
+// State tells where it is.
+func (l *Link) State() State { return l.state }
+
+// Uses is how many requests have begun on it.
+func (l *Link) Uses() int { return l.uses }
+
+// Begin takes it for a request.
+func (l *Link) Begin() error {
+	if l.state != Idle {
+		return fmt.Errorf("begin while %v: %w", l.state, ErrState)
+	}
+	l.state = Writing
+	l.uses++
+	return nil
+}
+
+// NotBegun gives it back before a byte was written: the server is to get nothing new, or nobody waits any more.
+func (l *Link) NotBegun() Verdict {
+	if l.state != Writing {
+		return l.illegal("not begun")
+	}
+	l.state = Idle
+	l.uses--
+	return Verdict{Outcome: passhub.Skipped, Keep: true}
+}
+
+// Unwritten is the end before the last byte of a request was written: the write failed, the server spoke or ended it
+// before, or the attempt was given up. Nothing ran. A kept connection may have been forgotten by the server, which says
+// nothing of the server: the next one may take its place. A new one is the last to be tried.
+func (l *Link) Unwritten(t Trouble) Verdict {
+	if l.state != Writing {
+		return l.illegal("unwritten")
+	}
+	l.state = Ended
+	if t == Cancelled {
+		return Verdict{Outcome: passhub.Skipped, Code: "upstream-not-needed"}
+	}
+	return Verdict{Outcome: passhub.Refused, Again: l.uses > 1, Code: "upstream-write-failed"}
+}
+
+// Written tells that the last byte has been written. From now on it may run.
+func (l *Link) Written() error {
+	if l.state != Writing {
+		return fmt.Errorf("written while %v: %w", l.state, ErrState)
+	}
+	l.state = Awaiting
+	return nil
+}
+
+// Answered is the end by an answer. One with bytes behind it answers its request, and spoils the connection; given up
+// at the same time, it still answers it.
+func (l *Link) Answered(a Answer, cancelled bool) Verdict {
+	if l.state != Awaiting {
+		return l.illegal("answered")
+	}
+	v := Verdict{Answered: true, Outcome: Outcome(a)}
+	switch {
+	case a.More:
+		v.Code = "upstream-bad-answer"
+	case a.Close:
+		v.Code = "upstream-close"
+	case cancelled:
+		v.Code = "upstream-not-needed" // its deadline may be changed at any time from now on
+	default:
+		v.Keep = true
+	}
+	l.state = Ended
+	if v.Keep {
+		l.state = Idle
+	}
+	return v
+}
+
+// Outcome is what an answer means (PROTOCOL, "Ingresses to quote servers").
+func Outcome(a Answer) passhub.Outcome {
+	switch {
+	case a.Status == 200:
+		return passhub.Done
+	case (a.Status == 503 || a.Status == 504) && a.NotProcessed:
+		return passhub.Busy
+	}
+	return passhub.Failed
+}
+
+// Unanswered is the end without an answer after the request was written whole. It may have run, or may yet.
+func (l *Link) Unanswered(t Trouble) Verdict {
+	if l.state != Awaiting {
+		return l.illegal("unanswered")
+	}
+	l.state = Ended
+	switch t {
+	case Cancelled:
+		return Verdict{Outcome: passhub.Cancelled, Code: "upstream-cancelled"}
+	case Late:
+		return Verdict{Outcome: passhub.TimedOut, Code: "upstream-timeout"}
+	case Malformed:
+		return Verdict{Outcome: passhub.Failed, Code: "upstream-bad-answer"}
+	}
+	return Verdict{Outcome: passhub.Reset, Code: "upstream-reset"}
+}
+
+// Drop ends an idle connection.
+func (l *Link) Drop() { l.state = Ended }
+
+// illegal is the safe way out of a mistake: the connection is ended, and what was on it may have run.
+func (l *Link) illegal(what string) Verdict {
+	code := "upstream-illegal"
+	_ = what
+	l.state = Ended
+	return Verdict{Outcome: passhub.Reset, Code: code}
+}
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,180 @@
+package link
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mulleinrouter/passhub"
+)
+
+// Each row of PROTOCOL's table of outcomes, and each with a cancel at the same time.
+func TestVerdicts(t *testing.T) {
+	written := func(l *Link) {
+		l.Begin()
+		l.Written()
+	}
+	kept := func(l *Link) { // a connection that has answered before
+		written(l)
+		l.Answered(Answer{Status: 200}, false)
+	}
+	answered := func(a Answer, cancelled bool) func(*Link) Verdict {
+		return func(l *Link) Verdict {
+			written(l)
+			return l.Answered(a, cancelled)
+		}
+	}
+	unanswered := func(tr Trouble) func(*Link) Verdict {
+		return func(l *Link) Verdict {
+			written(l)
+			return l.Unanswered(tr)
+		}
+	}
+	unwritten := func(tr Trouble) func(*Link) Verdict {
+		return func(l *Link) Verdict {
+			l.Begin()
+			return l.Unwritten(tr)
+		}
+	}
+	for _, tc := range []struct {
+		name  string
+		kept  bool
+		do    func(*Link) Verdict
+		want  Verdict
+		state State
+	}{
+		{"200", false, answered(Answer{Status: 200}, false), Verdict{Outcome: passhub.Done, Answered: true, Keep: true}, Idle},
+		{"200 and a cancel", false, answered(Answer{Status: 200}, true), Verdict{Outcome: passhub.Done, Answered: true, Code: "upstream-not-needed"}, Ended},
+		{"200 and its close", true, answered(Answer{Status: 200, Close: true}, false), Verdict{Outcome: passhub.Done, Answered: true, Code: "upstream-close"}, Ended},
+		{"200 and more", true, answered(Answer{Status: 200, More: true}, false), Verdict{Outcome: passhub.Done, Answered: true, Code: "upstream-bad-answer"}, Ended},
+		{"500", false, answered(Answer{Status: 500}, false), Verdict{Outcome: passhub.Failed, Answered: true, Keep: true}, Idle},
+		{"500 not processed", false, answered(Answer{Status: 500, NotProcessed: true}, false), Verdict{Outcome: passhub.Failed, Answered: true, Keep: true}, Idle},
+		{"503", false, answered(Answer{Status: 503}, false), Verdict{Outcome: passhub.Failed, Answered: true, Keep: true}, Idle},
+		{"503 not processed", false, answered(Answer{Status: 503, NotProcessed: true}, false), Verdict{Outcome: passhub.Busy, Answered: true, Keep: true}, Idle},
+		{"504 not processed and a cancel", false, answered(Answer{Status: 504, NotProcessed: true}, true), Verdict{Outcome: passhub.Busy, Answered: true, Code: "upstream-not-needed"}, Ended},
+		{"breaks before the last byte, new", false, unwritten(Broke), Verdict{Outcome: passhub.Refused, Code: "upstream-write-failed"}, Ended},
+		{"breaks before the last byte, kept", true, unwritten(Broke), Verdict{Outcome: passhub.Refused, Again: true, Code: "upstream-write-failed"}, Ended},
+		{"cancelled before the last byte", true, unwritten(Cancelled), Verdict{Outcome: passhub.Skipped, Code: "upstream-not-needed"}, Ended},
+		{"breaks after it", true, unanswered(Broke), Verdict{Outcome: passhub.Reset, Code: "upstream-reset"}, Ended},
+		{"silent", true, unanswered(Late), Verdict{Outcome: passhub.TimedOut, Code: "upstream-timeout"}, Ended},
+		{"cancelled after it", true, unanswered(Cancelled), Verdict{Outcome: passhub.Cancelled, Code: "upstream-cancelled"}, Ended},
+		{"no answer", true, unanswered(Malformed), Verdict{Outcome: passhub.Failed, Code: "upstream-bad-answer"}, Ended},
+		{"not begun", true, func(l *Link) Verdict { l.Begin(); return l.NotBegun() }, Verdict{Outcome: passhub.Skipped, Keep: true}, Idle},
+		{"an answer to nothing", true, func(l *Link) Verdict { return l.Answered(Answer{Status: 200}, false) }, Verdict{Outcome: passhub.Reset, Code: "upstream-illegal"}, Ended},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l := &Link{}
+			if tc.kept {
+				kept(l)
+			}
+			if diff := cmp.Diff(tc.want, tc.do(l)); diff != "" || l.State() != tc.state {
+				t.Errorf("state %v, want %v\n%s", l.State(), tc.state, diff)
+			}
+			if l.State() == Ended && (l.Begin() == nil || l.Written() == nil) {
+				t.Error("used again after its end")
+			}
+		})
+	}
+}
+
+func TestHold(t *testing.T) {
+	var m Memory
+	m.Lost("bad", 100)
+	for _, tc := range []struct {
+		server string
+		now    float64
+		e      Evidence
+		want   bool
+	}{
+		{"good", 101, Evidence{Fresh: true}, false}, {"good", 101, Evidence{Idle: 0.5}, false}, {"good", 101, Evidence{Idle: 1.5}, true},
+		{"good", 101, Evidence{Fresh: true, Once: true}, true}, {"good", 101, Evidence{Idle: 0.01, Once: true}, true},
+		{"bad", 101, Evidence{Fresh: true}, true}, {"bad", 109, Evidence{Idle: 0.01}, true}, {"bad", 111, Evidence{Idle: 0.01}, false},
+	} {
+		if got := m.Hold(tc.server, tc.now, tc.e); got != tc.want {
+			t.Errorf("%s at %g, %+v: %v", tc.server, tc.now, tc.e, got)
+		}
+	}
+	m.Forget(105)
+	if len(m.lost) != 1 {
+		t.Error("forgotten too early")
+	}
+	m.Forget(111)
+	if len(m.lost) != 0 {
+		t.Error("kept for ever")
+	}
+}
+
+// A shelf used by chance: what is up is what was taken and not told as gone, in no more places than there are.
+func TestShelf(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	s, next, full, spares := NewShelf[int](5), 0, 0, 0
+	busy, idle, where := map[int]string{}, map[int]string{}, map[int]float64{}
+	any := func(m map[int]string) int {
+		for id := range next {
+			if _, ok := m[id]; ok && rng.IntN(2) == 0 {
+				return id
+			}
+		}
+		return -1
+	}
+	for now := 0.0; now < 5000; now++ {
+		server := fmt.Sprint("s", rng.IntN(3))
+		switch rng.IntN(5) {
+		case 0:
+			if c, ok := s.Take(server); ok {
+				if idle[c.Conn] != server {
+					t.Fatalf("%d is not idle at %s", c.Conn, server)
+				}
+				delete(idle, c.Conn)
+				busy[c.Conn] = server
+			}
+		case 1:
+			spare, end, ok := s.Room()
+			if !ok {
+				if full++; len(idle) > 0 || len(busy) < 5 {
+					t.Fatal("no room, and there is")
+				}
+				continue
+			}
+			if end {
+				spares++
+				for id := range idle {
+					if where[id] < where[spare] {
+						t.Fatalf("%d has been idle for longer than %d", id, spare)
+					}
+				}
+				delete(idle, spare)
+				s.Gone()
+			}
+			busy[next] = server
+			next++
+		case 2:
+			if id := any(busy); id >= 0 {
+				s.Put(busy[id], id, now)
+				idle[id], where[id] = busy[id], now
+				delete(busy, id)
+			}
+		case 3:
+			if id := any(busy); id >= 0 {
+				delete(busy, id)
+				s.Gone()
+			}
+		case 4:
+			for _, id := range s.Old(now-20, func(server string) bool { return server != "s2" || rng.IntN(2) == 0 }) {
+				if _, ok := idle[id]; !ok || idle[id] != "s2" && where[id] >= now-20 {
+					t.Fatalf("%d ended, idle since %g at %g", id, where[id], now)
+				}
+				delete(idle, id)
+				s.Gone()
+			}
+		}
+		if s.Up() != len(idle)+len(busy) || s.Up() > 5 || s.Idle("s0")+s.Idle("s1")+s.Idle("s2") != len(idle) {
+			t.Fatalf("%d up, %d idle and %d busy", s.Up(), len(idle), len(busy))
+		}
+	}
+	if full == 0 || spares == 0 {
+		t.Errorf("full %d times, %d spares", full, spares)
+	}
+}
--- /dev/null
+++ b/internal/link/shelf.go
@@ -0,0 +1,101 @@
+package link
+
+import "mulleinrouter/passhub"
+
+// Shelf keeps the idle connections to all servers, and counts those that are up. C is whatever the host has for a
+// connection. It is not safe for use by several goroutines at once.
+type Shelf[C any] struct {
+	Most int // up at once, to all servers
+
+	idle map[string][]Kept[C] // by server, the one used last at the end
+	up   int
+}
+
+// Kept is an idle connection.
+type Kept[C any] struct {
+	Conn  C
+	Since passhub.Seconds // idle since then
+}
+
+// NewShelf returns an empty shelf.
+func NewShelf[C any](most int) *Shelf[C] { return &Shelf[C]{Most: most, idle: map[string][]Kept[C]{}} }
+
+// Up is how many connections are up, idle or not, or about to be.
+func (s *Shelf[C]) Up() int { return s.up }
+
+// Idle is how many connections to a server are idle.
+func (s *Shelf[C]) Idle(server string) int { return len(s.idle[server]) }
+
+// Take takes the connection to a server that was used last, if one is idle.
+func (s *Shelf[C]) Take(server string) (c Kept[C], ok bool) {
+	list := s.idle[server]
+	if len(list) == 0 {
+		return c, false
+	}
+	c = list[len(list)-1]
+	s.set(server, list[:len(list)-1])
+	return c, true
+}
+
+func (s *Shelf[C]) set(server string, list []Kept[C]) {
+	if len(list) == 0 {
+		delete(s.idle, server) // guards against an entry for each server that ever was
+		return
+	}
+	s.idle[server] = list
+}
+
+// Room makes a place for a new connection, which counts as up from then on. Spare is one to end for it, if there is
+// one; not ok: all places are taken by connections in use.
+func (s *Shelf[C]) Room() (spare C, end, ok bool) {
+	if s.up >= s.Most {
+		from := ""
+		for server, list := range s.idle {
+			if from == "" || list[0].Since < s.idle[from][0].Since {
+				from = server
+			}
+		}
+		if from == "" {
+			return spare, false, false
+		}
+		spare, end = s.idle[from][0].Conn, true
+		s.set(from, s.idle[from][1:])
+	}
+	s.up++
+	return spare, end, true
+}
+
+// Put puts a connection back.
+func (s *Shelf[C]) Put(server string, c C, now passhub.Seconds) {
+	s.idle[server] = append(s.idle[server], Kept[C]{c, now})
+}
+
+// Gone tells that a connection that was up is no more, or that one never came up.
+func (s *Shelf[C]) Gone() { s.up-- }
+
+// Old takes out the connections that have been idle since before a time, and those to servers that are to get nothing
+// new.
+func (s *Shelf[C]) Old(before passhub.Seconds, serving func(server string) bool) (old []C) {
+	for server, list := range s.idle {
+		n := 0
+		if !serving(server) {
+			n = len(list)
+		}
+		for n < len(list) && list[n].Since < before {
+			n++
+		}
+		for _, c := range list[:n] {
+			old = append(old, c.Conn)
+		}
+		s.set(server, list[n:])
+	}
+	return old
+}
+
+// Last is the idle connection to a server that was used last, to look at.
+func (s *Shelf[C]) Last(server string) (c C, ok bool) {
+	if list := s.idle[server]; len(list) > 0 {
+		return list[len(list)-1].Conn, true
+	}
+	return c, false
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -102,7 +102,8 @@
 			return err
 		}
 	}
-	n.engine = engine.New(passhub.New(c.Settings, c.Seed), engine.NewClock())
+	n.engine = engine.New(passhub.New(c.Settings, c.Seed), &c.Settings, engine.NewClock())
+	n.engine.Log = n.log
 	if c.Counter != "" {
 		n.count = counter.New(c.Counter, seconds(c.Settings.CountWait), n.engine.Counted, n.log)
 		n.closed = append(n.closed, n.count.Close)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"mulleinrouter/internal/http1"
+	"mulleinrouter/internal/link"
 	"mulleinrouter/passhub"
 )
 
@@ -41,30 +42,33 @@
 	log    *logrus.Logger
 	dial   func(ctx context.Context, network, addr string) (net.Conn, error)
 	settle func(*conn) // waits until a reset by the server would be here
+	base   time.Time   // the shelf's times are seconds since then
 
-	mu   sync.Mutex
-	idle map[string][]*conn // by backend, the newest last
-	open int
+	mu     sync.Mutex
+	shelf  *link.Shelf[*conn]
+	memory link.Memory
 }
 
 // conn is one connection to a backend.
 type conn struct {
 	net.Conn
+	link.Link
 	backend, addr string
 	reader        *http1.Reader
 	raw           syscall.RawConn
-	settle        time.Duration // by which what it answers to a byte is here
-	since         time.Time     // idle since then
-	uses          int
+	settle        time.Duration   // by which what it answers to a byte is here
+	answered      passhub.Seconds // when it last did
 }
 
 // New returns an empty pool.
 func New(lookup Lookup, limits Limits, log *logrus.Logger) *Pool {
 	dialer := net.Dialer{Timeout: limits.ConnectTimeout, KeepAlive: -1}
-	return &Pool{lookup: lookup, limits: limits, log: log, dial: dialer.DialContext, idle: map[string][]*conn{},
-		settle: func(c *conn) { time.Sleep(c.settle) }}
+	return &Pool{lookup: lookup, limits: limits, log: log, dial: dialer.DialContext, base: time.Now(),
+		shelf: link.NewShelf[*conn](limits.Connections), settle: func(c *conn) { time.Sleep(c.settle) }}
 }
 
+func (p *Pool) now() passhub.Seconds { return time.Since(p.base).Seconds() }
+
 // Message is a request as it goes to a backend.
 type Message struct {
 	Method, Target, ID string
@@ -85,70 +89,87 @@
 	if _, serving := p.lookup(backend); !serving || ctx.Err() != nil {
 		return Result{Outcome: passhub.Skipped}
 	}
-	c, err := p.send(ctx, backend, m, until)
-	switch {
-	case errors.Is(err, errUnneeded), errors.Is(err, errFull):
-		return Result{Outcome: passhub.Skipped} // nothing was sent whole, and the server is not to blame
-	case err != nil:
-		return Result{Outcome: passhub.Refused}
-	}
-	stop := context.AfterFunc(ctx, func() { c.SetDeadline(longAgo) })
-	r, code, err := read(c.reader)
-	reusable := stop() // else the deadline may be changed at any time from now on
-	switch {
-	case err == nil && code == "":
-		p.put(c, reusable)
-	case err == nil:
-		p.close(c, code, nil)
-	default:
-		r.Outcome, code = broken(ctx, err)
-		p.close(c, code, err)
+	for {
+		c, err := p.get(ctx, backend, until)
+		if errors.Is(err, errUnneeded) || errors.Is(err, errFull) {
+			return Result{Outcome: passhub.Skipped} // nothing was sent whole, and the server is not to blame
+		} else if err != nil {
+			return Result{Outcome: passhub.Refused}
+		}
+		v, body, err := p.attempt(ctx, c, m, until)
+		if v.Keep {
+			p.put(c)
+		} else {
+			p.close(c, v.Code, err)
+		}
+		if !v.Again {
+			return Result{Outcome: v.Outcome, Answered: v.Answered, Body: body}
+		}
 	}
-	return r
 }
 
-// send writes a request on a connection. A kept one may turn out to be forgotten by the server, which says
-// nothing of the server: then the next one takes its place, and no part of the request has run. A new one is the
-// last to be tried.
-func (p *Pool) send(ctx context.Context, backend string, m *Message, until time.Time) (*conn, error) {
+// attempt is the life of a request on a connection: written, answered. What each end of it proves, and whether the
+// connection may be used again, is the link's to say.
+func (p *Pool) attempt(ctx context.Context, c *conn, m *Message, until time.Time) (v link.Verdict, body []byte, err error) {
+	if err := c.Begin(); err != nil {
+		return c.Unwritten(link.Broke), nil, err
+	}
+	// A dial takes a while: the list may have changed, the client gone, the time run out.
+	addr, serving := p.lookup(c.backend)
+	left := time.Until(until)
+	if !serving || addr != c.addr || ctx.Err() != nil || left <= 0 {
+		return c.NotBegun(), nil, nil
+	}
+	c.SetDeadline(until)
 	buf := buffers.Get().(*[]byte)
 	defer buffers.Put(buf)
-	for {
-		c, err := p.get(ctx, backend, until)
-		if err != nil {
-			return nil, err
-		}
-		// A dial takes a while: the list may have changed, the client gone, the time run out.
-		addr, serving := p.lookup(backend)
-		left := time.Until(until)
-		if !serving || addr != c.addr || ctx.Err() != nil || left <= 0 {
-			p.put(c, true)
-			return nil, errUnneeded
-		}
-		c.uses++
-		c.SetDeadline(until)
-		*buf = appendRequest((*buf)[:0], m, left)
-		whole, err := p.write(ctx, c, *buf)
-		switch {
-		case whole:
-			return c, nil
-		case ctx.Err() != nil: // the client left: nothing ran, and the server is not to blame
-			p.close(c, "upstream-not-needed", err)
-			return nil, errUnneeded
+	*buf = appendRequest((*buf)[:0], m, left)
+	if whole, err := p.write(ctx, c, *buf, m.Method != "GET"); !whole {
+		if ctx.Err() != nil || errors.Is(err, errLeaving) {
+			return c.Unwritten(link.Cancelled), nil, err // nothing ran, and the server is not to blame
 		}
-		p.close(c, "upstream-write-failed", err)
-		if c.uses == 1 {
-			return nil, err
+		p.lost(c)
+		return c.Unwritten(link.Broke), nil, err
+	}
+	c.Written()
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(longAgo) })
+	a, body, err := read(c.reader)
+	cancelled := !stop() // then the deadline may be changed at any time from now on
+	if err != nil {
+		how := trouble(ctx, err)
+		if how == link.Broke {
+			p.lost(c)
 		}
+		return c.Unanswered(how), nil, err
 	}
+	c.answered = p.now()
+	return c.Answered(a, cancelled), body, nil
 }
 
-var errEnded = errors.New("ended before the request was whole")
+var (
+	errEnded   = errors.New("ended before the request was whole")
+	errLeaving = errors.New("the server is to get nothing new")
+)
+
+// lost remembers that a server's connection ended unawares.
+func (p *Pool) lost(c *conn) {
+	p.mu.Lock()
+	p.memory.Lost(c.backend, p.now())
+	p.mu.Unlock()
+}
 
-// write sends a request in two parts, the last byte by itself. A server that has forgotten a kept connection
-// resets it at the first byte of a request, and what comes before the request is whole is no answer to it: with
-// the last byte still here, either proves that nothing ran.
-func (p *Pool) write(ctx context.Context, c *conn, b []byte) (whole bool, err error) {
+// write sends a request, where it can prove something in two parts, the last byte by itself. A server that has
+// forgotten a kept connection resets it at the first byte of a request, and what comes before the request is whole is
+// no answer to it: with the last byte still here, either proves that nothing ran.
+func (p *Pool) write(ctx context.Context, c *conn, b []byte, once bool) (whole bool, err error) {
+	now := p.now()
+	p.mu.Lock()
+	hold := p.memory.Hold(c.backend, now, link.Evidence{Fresh: c.Uses() == 1, Idle: now - c.answered, Once: once})
+	p.mu.Unlock()
+	if !hold {
+		n, err := c.Write(b)
+		return n == len(b), err
+	}
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(longAgo) })
 	defer stop()
 	last := len(b) - 1
@@ -159,51 +180,42 @@
 	if code := c.stale(c.addr); code != "" || ctx.Err() != nil {
 		return false, fmt.Errorf("%w: %s", errEnded, code)
 	}
+	if _, serving := p.lookup(c.backend); !serving {
+		return false, errLeaving // between the two parts the news came that it drains
+	}
 	n, err := c.Write(b[last:])
 	return n == 1, err
 }
 
-// broken tells apart how an attempt that was written whole ended without an answer.
-func broken(ctx context.Context, err error) (passhub.Outcome, string) {
+// trouble tells apart how a connection failed on which a request had been written whole.
+func trouble(ctx context.Context, err error) link.Trouble {
 	var timeout net.Error
 	switch {
 	case ctx.Err() != nil:
-		return passhub.Cancelled, "upstream-cancelled"
+		return link.Cancelled
 	case errors.As(err, &timeout) && timeout.Timeout():
-		return passhub.TimedOut, "upstream-timeout"
+		return link.Late
 	case errors.Is(err, http1.ErrStartLine), errors.Is(err, http1.ErrHeader), errors.Is(err, http1.ErrFraming),
 		errors.Is(err, http1.ErrHeadTooLarge), errors.Is(err, http1.ErrBodyTooLarge):
-		return passhub.Failed, "upstream-bad-answer"
+		return link.Malformed
 	}
-	return passhub.Reset, "upstream-reset"
+	return link.Broke
 }
 
-// read takes the answer. A code says why the connection is not to be used again.
-func read(r *http1.Reader) (result Result, code string, err error) {
-	a, err := r.Response()
+// read takes the answer, and its body if it is the client's.
+func read(r *http1.Reader) (a link.Answer, body []byte, err error) {
+	head, err := r.Response()
 	if err != nil {
-		return result, "", err
+		return a, nil, err
 	}
-	body, err := r.Body(a)
-	if err != nil {
-		return result, "", err
+	if body, err = r.Body(head); err != nil {
+		return a, nil, err
 	}
-	result.Answered = true
-	switch {
-	case a.Status == 200:
-		result.Outcome, result.Body = passhub.Done, body
-	case (a.Status == 503 || a.Status == 504) && a.Header.Get("X-Not-Processed") == "1":
-		result.Outcome = passhub.Busy
-	default:
-		result.Outcome = passhub.Failed
+	a = link.Answer{Status: head.Status, NotProcessed: head.Header.Get("X-Not-Processed") == "1", Close: head.Close, More: r.Buffered() > 0}
+	if link.Outcome(a) != passhub.Done {
+		body = nil
 	}
-	switch {
-	case a.Close:
-		code = "upstream-close"
-	case r.Buffered() > 0:
-		code = "upstream-bad-answer"
-	}
-	return result, code, nil
+	return a, body, nil
 }
 
 var buffers = sync.Pool{New: func() any { b := make([]byte, 0, 1024); return &b }}
@@ -233,29 +245,26 @@
 	addr, _ := p.lookup(backend)
 	for {
 		p.mu.Lock()
-		list := p.idle[backend]
-		if len(list) == 0 {
+		kept, ok := p.shelf.Take(backend)
+		if !ok {
 			break // with the mutex held
 		}
-		c := list[len(list)-1]
-		p.idle[backend] = list[:len(list)-1]
 		p.mu.Unlock()
-		if code := c.stale(addr); code != "" {
-			p.close(c, code, nil)
+		if code := kept.Conn.stale(addr); code != "" {
+			if code != "upstream-moved" {
+				p.lost(kept.Conn)
+			}
+			p.close(kept.Conn, code, nil)
 			continue
 		}
-		return c, nil
-	}
-	var spare *conn
-	if p.open >= p.limits.Connections {
-		if spare = p.oldest(); spare == nil {
-			p.mu.Unlock()
-			return nil, errFull
-		}
+		return kept.Conn, nil
 	}
-	p.open++
+	spare, end, ok := p.shelf.Room()
 	p.mu.Unlock()
-	if spare != nil {
+	if !ok {
+		return nil, errFull
+	}
+	if end {
 		p.close(spare, "upstream-room", nil)
 	}
 	begun := time.Now()
@@ -263,9 +272,7 @@
 	nc, err := p.dial(within, "tcp", addr)
 	done()
 	if err != nil {
-		p.mu.Lock()
-		p.open--
-		p.mu.Unlock()
+		p.gone()
 		code := "upstream-connect-failed"
 		if ctx.Err() != nil || time.Until(until) <= 0 {
 			// Taken for a refusal, it would have the module leave a server alone that is well.
@@ -309,40 +316,28 @@
 }
 
 // put gives a connection back.
-func (p *Pool) put(c *conn, reusable bool) {
-	if _, serving := p.lookup(c.backend); !serving || !reusable {
+func (p *Pool) put(c *conn) {
+	if _, serving := p.lookup(c.backend); !serving {
 		p.close(c, "upstream-not-needed", nil)
 		return
 	}
 	c.SetDeadline(time.Time{})
 	p.mu.Lock()
-	c.since = time.Now()
-	p.idle[c.backend] = append(p.idle[c.backend], c)
+	p.shelf.Put(c.backend, c, p.now())
 	p.mu.Unlock()
 }
 
-// oldest takes out the connection that has been idle for the longest.
-func (p *Pool) oldest() *conn {
-	var from string
-	for backend, list := range p.idle {
-		if len(list) > 0 && (from == "" || list[0].since.Before(p.idle[from][0].since)) {
-			from = backend
-		}
-	}
-	if from == "" {
-		return nil
-	}
-	c := p.idle[from][0]
-	p.idle[from] = p.idle[from][1:]
-	return c
+func (p *Pool) gone() {
+	p.mu.Lock()
+	p.shelf.Gone()
+	p.mu.Unlock()
 }
 
 func (p *Pool) close(c *conn, code string, err error) {
+	c.Drop()
 	c.Close()
-	p.mu.Lock()
-	p.open--
-	p.mu.Unlock()
-	entry := p.log.WithFields(logrus.Fields{"code": code, "backend": c.backend, "uses": c.uses})
+	p.gone()
+	entry := p.log.WithFields(logrus.Fields{"code": code, "backend": c.backend, "uses": c.Uses()})
 	if err != nil {
 		entry = entry.WithError(err)
 	}
@@ -366,22 +361,12 @@
 }
 
 func (p *Pool) sweep(now time.Time) {
-	most := time.Duration(idleShare * float64(p.limits.Keepalive))
-	var old []*conn
 	p.mu.Lock()
-	for backend, list := range p.idle {
-		n := 0
-		if _, serving := p.lookup(backend); !serving {
-			n = len(list)
-		}
-		for n < len(list) && now.Sub(list[n].since) > most {
-			n++
-		}
-		old = append(old, list[:n]...)
-		if p.idle[backend] = list[n:]; n == len(list) {
-			delete(p.idle, backend)
-		}
-	}
+	old := p.shelf.Old(now.Sub(p.base).Seconds()-idleShare*p.limits.Keepalive.Seconds(), func(backend string) bool {
+		_, serving := p.lookup(backend)
+		return serving
+	})
+	p.memory.Forget(p.now())
 	p.mu.Unlock()
 	for _, c := range old {
 		p.close(c, "upstream-idle", nil)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -58,7 +58,8 @@
 			return exchange.Until(func() bool {
 				pool.mu.Lock()
 				defer pool.mu.Unlock()
-				return pool.idle["s-1"][0].stale(addr) == "upstream-ended"
+				c, ok := pool.shelf.Last("s-1")
+				return ok && c.stale(addr) == "upstream-ended"
 			})
 		}
 		p.Hooks["outcome"] = func(string) string {
@@ -85,7 +86,7 @@
 		p.Hooks["open"] = func(string) string {
 			pool.mu.Lock()
 			defer pool.mu.Unlock()
-			return strconv.Itoa(pool.open)
+			return strconv.Itoa(pool.shelf.Up())
 		}
 		p.Play(script)
 	})
@@ -147,8 +148,8 @@
 				return nil, within.Err()
 			}
 			got := pool.Do(ctx, "s-1", &Message{Method: "GET", Target: "/", ID: "1"}, time.Now().Add(tc.left))
-			if diff := cmp.Diff(Result{Outcome: tc.want}, got); diff != "" || pool.open != 0 {
-				t.Errorf("%d connections counted as open\n%s", pool.open, diff)
+			if diff := cmp.Diff(Result{Outcome: tc.want}, got); diff != "" || pool.shelf.Up() != 0 {
+				t.Errorf("%d connections counted as open\n%s", pool.shelf.Up(), diff)
 			}
 		})
 	}
@@ -192,7 +193,7 @@
 		t.Fatal(err)
 	}
 	cancel()
-	if diff := cmp.Diff(Result{Outcome: passhub.Skipped}, <-result); diff != "" || pool.open != 0 {
-		t.Errorf("%d connections counted as open\n%s", pool.open, diff)
+	if diff := cmp.Diff(Result{Outcome: passhub.Skipped}, <-result); diff != "" || pool.shelf.Up() != 0 {
+		t.Errorf("%d connections counted as open\n%s", pool.shelf.Up(), diff)
 	}
 }
