Explore every order of four events, and hold retries to a tenth once a group fails

Which outcomes prove what, with a cancel at the same time, was settled by chance; and what surely had not run was sent again up to four times even when all servers fail.

A path that is more than /api/ and the customer is a 404, a header or term that decides and stands twice a 400. Fuzz targets for messages, the counter's answers and calls, and the catalogue.

--- a/internal/attempt/desk.go
+++ b/internal/attempt/desk.go
@@ -123,11 +123,11 @@
 		d.out = append(d.out, Illegal{q, err})
 		return d.out
 	}
-	if over {
+	if over && !mutated("ended-stays") {
 		delete(d.open, q.id)
 	}
 	d.handle(now, passhub.AttemptEnded{ID: q.id, Attempt: q.life.attempts - 1, Backend: q.backend, Outcome: o, Took: now - q.sent, Settled: over})
-	if gone {
+	if gone && !mutated("gone-untold") {
 		d.out = append(d.out, Tell{q, Decision{Kind: Gone}})
 	}
 	return d.out
@@ -144,7 +144,9 @@
 	if over {
 		delete(d.open, q.id)
 	}
-	d.handle(now, passhub.ClientGone{ID: q.id})
+	if !mutated("leaving-untold") {
+		d.handle(now, passhub.ClientGone{ID: q.id})
+	}
 	if over {
 		d.out = append(d.out, Tell{q, Decision{Kind: Gone}})
 	}
@@ -169,11 +171,17 @@
 			}
 		case passhub.Fail:
 			if q := d.open[a.ID]; q != nil && q.life.phase != Deserted {
-				d.say(q, q.life.Fail(), Decision{Kind: Fail})
+				word := Decision{Kind: Fail}
+				if mutated("fail-refuses") {
+					word.Kind = Refuse
+				}
+				d.say(q, q.life.Fail(), word)
 			}
 		case passhub.Cancel:
 			if q := d.open[a.ID]; q != nil && q.life.MayHaveRun() && a.Attempt == q.life.attempts-1 {
-				d.out = append(d.out, Stop{q, a.Attempt})
+				if !mutated("cancel-lost") {
+					d.out = append(d.out, Stop{q, a.Attempt})
+				}
 			}
 		case passhub.SetTimer:
 			d.out = append(d.out, Timer{a})
@@ -198,6 +206,9 @@
 	}
 	q.backend, q.sent = a.Backend, now
 	until := q.deadline
+	if mutated("no-time-out") {
+		until += 60
+	}
 	if a.Timeout > 0 {
 		until = min(until, now+a.Timeout)
 	}
--- a/internal/attempt/life.go
+++ b/internal/attempt/life.go
@@ -84,7 +84,7 @@
 		return false, fmt.Errorf("an attempt ends while %v: %w", l.phase, ErrPhase)
 	}
 	l.mayRun = l.mayRun || !Proves(o)
-	if l.phase == Deserted || o == passhub.Done {
+	if l.phase == Deserted && !mutated("deserted-waits") || o == passhub.Done {
 		l.phase = Over
 		return true, nil
 	}
@@ -121,6 +121,10 @@
 		l.phase = Over
 		return true
 	case Out:
+		if mutated("left-is-over") {
+			l.phase = Over
+			return true
+		}
 		l.phase = Deserted
 	}
 	return false
--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -165,3 +165,26 @@
 	h <- struct{}{}
 	return nil
 }
+
+// FuzzParse: a catalogue is refused with one line that names its place, or is valid and the same when written again.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(good))
+	f.Add([]byte("revision \"1\" {\n  plan \"a\" {\n    open = 3\n  }\n}\n"))
+	f.Add([]byte("revision \"1\" {\n  plan \"a\" {\n    rate = 1e400\n  }\n}\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		all, err := Parse("f", b)
+		if err != nil {
+			if !strings.HasPrefix(err.Error(), "f:") || strings.Contains(err.Error(), "\n") {
+				t.Fatalf("%q", err)
+			}
+			return
+		}
+		again, err := Parse("f", Format(all))
+		if err != nil {
+			t.Fatalf("%v of\n%s", err, Format(all))
+		}
+		if diff := cmp.Diff(all, again); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -31,6 +31,7 @@
 	Plans   Plans   `cmd:"" help:"Show, compare and change catalogues of plans."`
 	Book    Book    `cmd:"" help:"Book allowance ahead for a member, list bookings, cancel one."`
 	Usage   Usage   `cmd:"" help:"Show, check and export records of use."`
+	Audit   Audit   `cmd:"" help:"Look for violations of the rules in the code as it is."`
 	Try     Try     `cmd:"" help:"Run three ingresses among stand-ins on this machine, change a plan midway, and show what was served and billed."`
 	Version Version `cmd:"" help:"Say which version this is."`
 
--- a/internal/counter/counter_test.go
+++ b/internal/counter/counter_test.go
@@ -1,8 +1,11 @@
 package counter
 
 import (
+	"bufio"
+	"bytes"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"testing"
 	"time"
@@ -82,3 +85,25 @@
 		p.Play(script)
 	})
 }
+
+// FuzzReadAnswer: whatever the counter says is an answer, or an error; a total is a number, and never read from more than
+// the lines that an answer has.
+func FuzzReadAnswer(f *testing.F) {
+	for _, text := range []string{"$3\r\n2.5\r\n", "+PONG\r\n", "-BUSY\r\n", "-ERR no\r\n", ":7\r\n", "$-1\r\n", "$9999999\r\nx", "*1\r\n$1\r\n1\r\n", "$3\r\nNaN\r\n", "$3\r\nInf\r\n"} {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r := bufio.NewReaderSize(bytes.NewReader(b), 1024)
+		a, err := readAnswer(r)
+		if err != nil {
+			return
+		}
+		if math.IsNaN(a.total) || math.IsInf(a.total, 0) || a.pong && a.outcome != 0 {
+			t.Fatalf("%q: %+v", b, a)
+		}
+		rest, _ := io.ReadAll(r)
+		if used := bytes.Count(b[:len(b)-len(rest)], []byte("\n")); used < 1 || used > 2 {
+			t.Fatalf("%q: an answer of %d lines", b, used)
+		}
+	})
+}
--- a/internal/counterd/counterd_test.go
+++ b/internal/counterd/counterd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"math"
@@ -173,3 +174,26 @@
 		s.Add(int64(i/10), fmt.Sprint(i%50_000), 1, 5000)
 	}
 }
+
+// FuzzCall: whatever callers say is carried out or refused, in bounded memory.
+func FuzzCall(f *testing.F) {
+	for _, text := range []string{"PING\r\n", "*4\r\n$7\r\nCNT.ADD\r\n$1\r\na\r\n$1\r\n2\r\n$1\r\n9\r\n", "CNT.ADD a 1 1\r\n", "*99999\r\n", "*1\r\n$-5\r\n"} {
+		f.Add([]byte(text))
+	}
+	s := New(1)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r := bufio.NewReaderSize(bytes.NewReader(b), 4096)
+		for {
+			args, err := readCall(r)
+			if err != nil {
+				return
+			}
+			if len(args) == 0 || len(args) > mostArgs {
+				t.Fatalf("%q: %q", b, args)
+			}
+			if answer := s.answer(args); !strings.HasSuffix(answer, "\r\n") {
+				t.Fatalf("%q: answered %q", args, answer)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/explore/events.go
@@ -0,0 +1,231 @@
+package explore
+
+import (
+	"fmt"
+	"slices"
+
+	"mulleinrouter/internal/link"
+	"mulleinrouter/passhub"
+)
+
+// event is one thing that may happen in a state.
+type event struct {
+	name string
+	do   func(w *World)
+}
+
+// alphabet is every kind of event, for the share of pairs that a run has covered. The names of events begin with these.
+var alphabet = []string{
+	"200", "200-and-close", "200-and-more", "500", "503-not-processed", "504-not-processed", "503", "interim", "spoilt",
+	"breaks", "breaks-early", "speaks-early", "last-byte", "time-out", "cancel-lands", "leaves", "retries",
+	"connects", "refuses-late", "drains", "gone", "address-taken", "refuses", "forgets", "list-again",
+	"timer", "time", "counted", "count-busy", "count-late", "count-no-number", "plan", "sigterm", "patience",
+}
+
+// Events are those that may happen now, in a fixed order.
+func (w *World) Events() (all []event) {
+	add := func(name string, do func(w *World)) { all = append(all, event{name, do}) }
+	for i, c := range w.clients {
+		id := fmt.Sprintf(" %s", c.name)
+		if t := c.try; t != nil && t.conn != nil {
+			w.attemptEvents(id, i, t, add)
+		}
+		if !c.gone && !c.finished {
+			add("leaves"+id, func(w *World) {
+				c := w.clients[i]
+				c.gone = true
+				w.do(w.desk.Leave(w.now, c.request))
+			})
+		}
+		if c.finished && !c.retried && (c.status == "refused" || c.gone) && !w.draining && len(w.clients) < 3 {
+			add("retries"+id, func(w *World) {
+				c := w.clients[i]
+				c.retried = true
+				w.ask(c.send, true)
+			})
+		}
+	}
+	for i, s := range w.servers {
+		if !s.listed {
+			continue
+		}
+		id := " " + s.id
+		if s.serving {
+			add("drains"+id, func(w *World) {
+				s := w.servers[i]
+				s.serving, s.told = false, w.now
+				w.list()
+			})
+		}
+		add("gone"+id, func(w *World) {
+			s := w.servers[i]
+			s.listed, s.serving, s.told = false, false, w.now
+			w.list()
+		})
+		if len(w.servers) < 4 {
+			add("address-taken"+id, func(w *World) { // a new server stands where this one did, and this one elsewhere
+				s := w.servers[i]
+				other := &server{id: fmt.Sprint("n", len(w.servers)), addr: s.addr, listed: true, serving: true}
+				s.addr += "'"
+				w.servers = append(w.servers, other)
+				w.list()
+			})
+		}
+		if !s.down {
+			add("refuses"+id, func(w *World) { w.servers[i].down = true })
+		}
+		if k, ok := w.shelf.Last(s.id); ok && !k.spoilt {
+			add("forgets"+id, func(w *World) {
+				if k, ok := w.shelf.Last(w.servers[i].id); ok {
+					k.spoilt = true
+				}
+			})
+		}
+	}
+	add("list-again", func(w *World) { w.list() }) // SIGHUP: discovery told whole once more
+	add("timer", func(w *World) { w.pass() })
+	add("time", func(w *World) {
+		for end := w.now + 0.3; w.now < end && len(w.Violations) == 0; {
+			w.pass()
+		}
+	})
+	if len(w.counts) > 0 {
+		for _, a := range []struct {
+			name    string
+			outcome passhub.Outcome
+			total   float64
+		}{{"counted", passhub.Done, 3}, {"count-busy", passhub.Busy, 0}, {"count-late", passhub.TimedOut, 0}, {"count-no-number", passhub.Failed, 0}} {
+			add(a.name, func(w *World) {
+				name := w.counts[0]
+				w.counts = w.counts[1:]
+				w.sum += a.total
+				w.do(w.desk.Handle(w.now, passhub.Counted{Name: name, Outcome: a.outcome, Total: w.sum}))
+			})
+		}
+	}
+	add("plan", func(w *World) {
+		w.plan = 1 - w.plan
+		p := planTable[w.plan]
+		w.do(w.desk.Handle(w.now, passhub.Terms{Customer: "m", Plan: p, Tag: p.Tag()}))
+	})
+	if !w.draining {
+		add("sigterm", func(w *World) { w.draining = true })
+	} else if !w.halted {
+		add("patience", func(w *World) { // every attempt that is out, or will be, is given up
+			w.halted = true
+			for _, c := range w.clients {
+				if c.try != nil {
+					c.try.cancelled = true
+				}
+			}
+		})
+	}
+	return all
+}
+
+// attemptEvents are what may become of an attempt that is out.
+func (w *World) attemptEvents(id string, i int, t *try, add func(string, func(*World))) {
+	on := func(name string, do func(w *World, t *try, k *conn)) {
+		add(name+id, func(w *World) {
+			t := w.clients[i].try
+			do(w, t, t.conn)
+		})
+	}
+	if t.stage == dialing {
+		on("connects", func(w *World, t *try, k *conn) { w.begin(t, k) })
+		on("refuses-late", func(w *World, t *try, k *conn) { w.noConnection(t) })
+		if t.cancelled {
+			on("cancel-lands", func(w *World, t *try, k *conn) { w.noConnection(t) })
+		}
+		return
+	}
+	if t.cancelled {
+		on("cancel-lands", func(w *World, t *try, k *conn) { w.runOut(t) })
+	}
+	if t.stage == holding {
+		on("last-byte", func(w *World, t *try, k *conn) {
+			if _, serving := w.lookup(t.backend); !serving || t.cancelled {
+				k.spoilt = true // half a request is on it
+				w.finish(t, k, k.Unwritten(link.Cancelled))
+				return
+			}
+			w.written(t)
+		})
+		for _, name := range []string{"breaks-early", "speaks-early"} {
+			on(name, func(w *World, t *try, k *conn) {
+				k.spoilt = true
+				how := link.Broke
+				if t.cancelled {
+					how = link.Cancelled
+				}
+				w.memory.Lost(t.backend, w.now)
+				w.finish(t, k, k.Unwritten(how))
+			})
+		}
+		return
+	}
+	for _, a := range []struct {
+		name   string
+		answer link.Answer
+	}{
+		{"200", link.Answer{Status: 200}}, {"200-and-close", link.Answer{Status: 200, Close: true}}, {"200-and-more", link.Answer{Status: 200, More: true}},
+		{"500", link.Answer{Status: 500}}, {"503-not-processed", link.Answer{Status: 503, NotProcessed: true}},
+		{"504-not-processed", link.Answer{Status: 504, NotProcessed: true}}, {"503", link.Answer{Status: 503}},
+	} {
+		on(a.name, func(w *World, t *try, k *conn) {
+			k.spoilt = k.spoilt || a.answer.Close || a.answer.More || t.cancelled // a deadline that may be changed at any time
+			if a.answer.NotProcessed {
+				t.client.mayRun-- // it never ran
+			}
+			w.finish(t, k, k.Answered(a.answer, t.cancelled))
+		})
+	}
+	on("interim", func(w *World, t *try, k *conn) {}) // passed over by the reader
+	for _, a := range []struct {
+		name    string
+		trouble link.Trouble
+	}{{"spoilt", link.Malformed}, {"breaks", link.Broke}, {"time-out", link.Late}} {
+		on(a.name, func(w *World, t *try, k *conn) {
+			how := a.trouble
+			if t.cancelled {
+				how = link.Cancelled
+			}
+			if how == link.Late { // until then timers run, and others' time runs out
+				for t.client.try == t && w.now < t.until-1e-9 && len(w.Violations) == 0 {
+					w.pass()
+				}
+				if t.client.try != t {
+					return
+				}
+			}
+			if how == link.Broke {
+				w.memory.Lost(t.backend, w.now)
+			}
+			k.spoilt = true
+			w.finish(t, k, k.Unanswered(how))
+		})
+	}
+}
+
+// step lets one event happen. Attempts of a world that is halted are given up as they begin.
+func (w *World) step(e event) {
+	w.steps++
+	e.do(w)
+	if w.halted {
+		for _, c := range w.clients {
+			if c.try != nil {
+				c.try.cancelled = true
+			}
+		}
+	}
+	w.check()
+}
+
+// find is the event of a name, if it may happen now.
+func (w *World) find(name string) (event, bool) {
+	all := w.Events()
+	if i := slices.IndexFunc(all, func(e event) bool { return e.name == name }); i >= 0 {
+		return all[i], true
+	}
+	return event{}, false
+}
--- /dev/null
+++ b/internal/explore/mutants_test.go
@@ -0,0 +1,51 @@
+//go:build mutants
+
+package explore
+
+import (
+	"testing"
+
+	"mulleinrouter/internal/attempt"
+	"mulleinrouter/internal/link"
+)
+
+// mutants are faults that are seeded in what serves, and the properties of which one must be found violated.
+var mutants = []struct {
+	where *string
+	name  string
+}{
+	{&link.Mutant, "ready-draining"}, {&link.Mutant, "ready-moved"}, {&link.Mutant, "unwritten-kept"}, {&link.Mutant, "more-kept"},
+	{&link.Mutant, "close-kept"}, {&link.Mutant, "cancelled-kept"}, {&link.Mutant, "busy-unproven"}, {&link.Mutant, "error-proves"},
+	{&link.Mutant, "reset-proves"}, {&link.Mutant, "late-proves"}, {&link.Mutant, "cancel-proves"}, {&link.Mutant, "spoilt-kept"},
+	{&link.Mutant, "taken-stays"}, {&link.Mutant, "put-twice"}, {&link.Mutant, "gone-uncounted"},
+	{&attempt.Mutant, "deserted-waits"}, {&attempt.Mutant, "left-is-over"}, {&attempt.Mutant, "ended-stays"}, {&attempt.Mutant, "gone-untold"},
+	{&attempt.Mutant, "fail-refuses"}, {&attempt.Mutant, "cancel-lost"}, {&attempt.Mutant, "no-time-out"}, {&attempt.Mutant, "leaving-untold"},
+}
+
+// Every fault that is seeded is found, with a short trace that violates nothing in the code as it is.
+func TestMutants(t *testing.T) {
+	for _, m := range mutants {
+		t.Run(m.name, func(t *testing.T) {
+			*m.where = m.name
+			defer func() { *m.where = "" }()
+			var found []*Trace
+			for depth := 1; depth <= 2 && len(found) == 0; depth++ {
+				found = Explore(Options{Depth: depth, Random: 20_000 * (depth - 1), Seed: 1}).Violations
+			}
+			if len(found) == 0 {
+				t.Fatal("it lives: a property is missing")
+			}
+			shortest := found[0]
+			for _, f := range found {
+				if len(f.Events) < len(shortest.Events) {
+					shortest = f
+				}
+			}
+			t.Logf("%d events, %s: %q in %v", len(shortest.Events), shortest.Violation.Property, shortest.Events, shortest.Config)
+			*m.where = ""
+			if violations, _ := Replay(shortest.Config, shortest.Events); len(violations) > 0 {
+				t.Errorf("its trace violates %v without it", violations)
+			}
+		})
+	}
+}
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -38,11 +38,17 @@
 		return passhub.Request{}, nil, &problem{status: status, code: code, text: text}
 	}
 	path, _, _ := strings.Cut(r.Target, "?")
-	if !strings.HasPrefix(path, pathPrefix) {
+	member, ok := strings.CutPrefix(path, pathPrefix)
+	if !ok || strings.Contains(member, "/") { // what stands between would be resolved otherwise elsewhere
 		return fail(404, "request-unknown-path", "no such path")
 	}
+	for _, key := range [...]string{keyID, keyClass, keyPlan, keyTimeout, keyTerms, keyRetried} {
+		if len(r.Header[key]) > 1 { // who counts the other one decides otherwise
+			return fail(400, "request-twice", key+" stands there twice")
+		}
+	}
 	// One customer under two spellings would have two quotas.
-	request.Customer = strings.ToLower(path[strings.LastIndexByte(path, '/')+1:])
+	request.Customer = strings.ToLower(member)
 	if n, err := strconv.ParseUint(request.Customer, 16, 64); err != nil || len(request.Customer) != 16 || n >= 1<<33 {
 		return fail(404, "request-unknown-customer", "the path does not end in a customer")
 	}
@@ -51,8 +57,8 @@
 		return fail(400, "request-bad-id", "X-Request-ID is missing or not a word")
 	}
 	request.Class = r.Header.Get(keyClass)
-	method, ok := s.methods[request.Class]
-	if !ok {
+	method, known := s.methods[request.Class]
+	if !known {
 		return fail(400, "request-unknown-class", "X-Priority-Class names no class")
 	}
 	if r.Method != method {
@@ -85,15 +91,28 @@
 		name, number, _ := strings.Cut(strings.TrimSpace(term), "=")
 		switch name {
 		case "units":
+			if units {
+				return false // said twice: who counts the other one decides otherwise
+			}
 			if r.Units, units = decimal(number); r.Units <= 0 || r.Units > s.mostUnits {
 				return false
 			}
 		case "spread":
+			if spread {
+				return false
+			}
 			n, err := strconv.ParseUint(number, 10, 31)
-			r.Doors, spread = int(n), err == nil && n > 0 && int(n) <= s.ingresses
+			if r.Doors, spread = int(n), err == nil && n > 0 && int(n) <= s.ingresses; !spread {
+				return false
+			}
 		case "first":
+			if first {
+				return false
+			}
 			n, err := strconv.ParseUint(number, 10, 31)
-			first = err == nil && int(n) < s.ingresses
+			if first = err == nil && int(n) < s.ingresses; !first {
+				return false
+			}
 		}
 	}
 	return units && spread && first
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -54,6 +54,7 @@
 	Again    bool   // the next connection may be tried for the same attempt: nothing of it has run
 	Keep     bool   // the connection goes back on the shelf
 	Code     string // of the log line, where it does not
+	Err      error  // a step that this life does not have: the host's mistake
 }
 
 // Link is the machine of one connection. Its zero value is one that has just come up.
@@ -78,6 +79,12 @@
 	return nil
 }
 
+// Ready tells whether a request may still go out on a connection that was taken or opened for it: the list may have
+// changed meanwhile, the client gone, the time run out.
+func Ready(serving, sameAddress, cancelled bool, left passhub.Seconds) bool {
+	return (serving || mutated("ready-draining")) && (sameAddress || mutated("ready-moved")) && !cancelled && left > 0
+}
+
 // NotBegun gives it back before a byte was written: the server is to get nothing new, or nobody waits any more.
 func (l *Link) NotBegun() Verdict {
 	if l.state != Writing {
@@ -96,6 +103,10 @@
 		return l.illegal("unwritten")
 	}
 	l.state = Ended
+	if mutated("unwritten-kept") {
+		l.state = Idle
+		return Verdict{Outcome: passhub.Refused, Keep: true}
+	}
 	if t == Cancelled {
 		return Verdict{Outcome: passhub.Skipped, Code: "upstream-not-needed"}
 	}
@@ -119,11 +130,11 @@
 	}
 	v := Verdict{Answered: true, Outcome: Outcome(a)}
 	switch {
-	case a.More:
+	case a.More && !mutated("more-kept"):
 		v.Code = "upstream-bad-answer"
-	case a.Close:
+	case a.Close && !mutated("close-kept"):
 		v.Code = "upstream-close"
-	case cancelled:
+	case cancelled && !mutated("cancelled-kept"):
 		v.Code = "upstream-not-needed" // its deadline may be changed at any time from now on
 	default:
 		v.Keep = true
@@ -140,7 +151,10 @@
 	switch {
 	case a.Status == 200:
 		return passhub.Done
-	case (a.Status == 503 || a.Status == 504) && a.NotProcessed:
+	case (a.Status == 503 || a.Status == 504) && (a.NotProcessed || mutated("busy-unproven")):
+		return passhub.Busy
+	}
+	if mutated("error-proves") {
 		return passhub.Busy
 	}
 	return passhub.Failed
@@ -152,6 +166,17 @@
 		return l.illegal("unanswered")
 	}
 	l.state = Ended
+	switch {
+	case mutated("reset-proves") && t == Broke:
+		return Verdict{Outcome: passhub.Refused, Code: "upstream-reset"}
+	case mutated("late-proves") && t == Late:
+		return Verdict{Outcome: passhub.Skipped, Code: "upstream-timeout"}
+	case mutated("cancel-proves") && t == Cancelled:
+		return Verdict{Outcome: passhub.Skipped, Code: "upstream-cancelled"}
+	case mutated("spoilt-kept") && t == Malformed:
+		l.state = Idle
+		return Verdict{Outcome: passhub.Failed, Keep: true}
+	}
 	switch t {
 	case Cancelled:
 		return Verdict{Outcome: passhub.Cancelled, Code: "upstream-cancelled"}
@@ -168,8 +193,6 @@
 
 // illegal is the safe way out of a mistake: the connection is ended, and what was on it may have run.
 func (l *Link) illegal(what string) Verdict {
-	code := "upstream-illegal"
-	_ = what
 	l.state = Ended
-	return Verdict{Outcome: passhub.Reset, Code: code}
+	return Verdict{Outcome: passhub.Reset, Code: "upstream-illegal", Err: fmt.Errorf("%s: %w", what, ErrState)}
 }
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"mulleinrouter/passhub"
 )
@@ -62,14 +63,14 @@
 		{"cancelled after it", true, unanswered(Cancelled), Verdict{Outcome: passhub.Cancelled, Code: "upstream-cancelled"}, Ended},
 		{"no answer", true, unanswered(Malformed), Verdict{Outcome: passhub.Failed, Code: "upstream-bad-answer"}, Ended},
 		{"not begun", true, func(l *Link) Verdict { l.Begin(); return l.NotBegun() }, Verdict{Outcome: passhub.Skipped, Keep: true}, Idle},
-		{"an answer to nothing", true, func(l *Link) Verdict { return l.Answered(Answer{Status: 200}, false) }, Verdict{Outcome: passhub.Reset, Code: "upstream-illegal"}, Ended},
+		{"an answer to nothing", true, func(l *Link) Verdict { return l.Answered(Answer{Status: 200}, false) }, Verdict{Outcome: passhub.Reset, Code: "upstream-illegal", Err: ErrState}, Ended},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			l := &Link{}
 			if tc.kept {
 				kept(l)
 			}
-			if diff := cmp.Diff(tc.want, tc.do(l)); diff != "" || l.State() != tc.state {
+			if diff := cmp.Diff(tc.want, tc.do(l), cmpopts.EquateErrors()); diff != "" || l.State() != tc.state {
 				t.Errorf("state %v, want %v\n%s", l.State(), tc.state, diff)
 			}
 			if l.State() == Ended && (l.Begin() == nil || l.Written() == nil) {
--- a/internal/link/shelf.go
+++ b/internal/link/shelf.go
@@ -33,6 +33,9 @@
 		return c, false
 	}
 	c = list[len(list)-1]
+	if mutated("taken-stays") {
+		return c, true
+	}
 	s.set(server, list[:len(list)-1])
 	return c, true
 }
@@ -67,11 +70,18 @@
 
 // Put puts a connection back.
 func (s *Shelf[C]) Put(server string, c C, now passhub.Seconds) {
+	if mutated("put-twice") {
+		s.idle[server] = append(s.idle[server], Kept[C]{c, now})
+	}
 	s.idle[server] = append(s.idle[server], Kept[C]{c, now})
 }
 
 // Gone tells that a connection that was up is no more, or that one never came up.
-func (s *Shelf[C]) Gone() { s.up-- }
+func (s *Shelf[C]) Gone() {
+	if !mutated("gone-uncounted") {
+		s.up--
+	}
+}
 
 // Old takes out the connections that have been idle since before a time, and those to servers that are to get nothing
 // new.
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -10,6 +10,7 @@
 	"net/http/httputil"
 	"net/textproto"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -132,18 +133,7 @@
 		start func(b *testing.B, to string) string
 	}{
 		{"relay", relay},
-		{"reverseproxy", func(b *testing.B, to string) string {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				b.Fatal(err)
-			}
-			proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: to})
-			proxy.Transport = &http.Transport{MaxIdleConnsPerHost: 1000}
-			s := &http.Server{Handler: proxy}
-			go s.Serve(l)
-			b.Cleanup(func() { s.Close() })
-			return l.Addr().String()
-		}},
+		{"reverseproxy", reverseProxy},
 		{"ingress", func(b *testing.B, to string) string { return ingressAt(b, to, "") }},
 		{"metered", func(b *testing.B, to string) string {
 			return ingressAt(b, to, fmt.Sprintf("usage {\n  dir = %q\n}\n", b.TempDir()))
@@ -180,7 +170,7 @@
 					return
 				}
 				out.Reset()
-				fmt.Fprintf(&out, "GET /api/quotes/%016x HTTP/1.1\r\nHost: app\r\nX-Request-ID: r%d\r\nX-Priority-Class: quote-read\r\nX-Tier: plus\r\n"+
+				fmt.Fprintf(&out, "GET /api/%016x HTTP/1.1\r\nHost: app\r\nX-Request-ID: r%d\r\nX-Priority-Class: quote-read\r\nX-Tier: plus\r\n"+
 					"X-Timeout: 5\r\nX-Call-Terms: units=1,spread=1,first=0\r\n\r\n", n%400, n)
 				if _, err := c.Write(out.Bytes()); err != nil {
 					b.Error(err)
@@ -224,3 +214,77 @@
 	cpu := func(r *syscall.Rusage) time.Duration { return time.Duration(r.Utime.Nano() + r.Stime.Nano()) }
 	b.ReportMetric(float64(cpu(&after)-cpu(&before))/float64(b.N)/1000, "cpu-us/op")
 }
+
+// BenchmarkAt140 is how long an answer takes at 140 requests a second on connections in use, through httputil.ReverseProxy
+// and through an ingress. Run it with -benchtime 1400x: ten seconds each.
+func BenchmarkAt140(b *testing.B) {
+	for _, bc := range []struct {
+		name  string
+		start func(b *testing.B, to string) string
+	}{
+		{"reverseproxy", reverseProxy},
+		{"ingress", func(b *testing.B, to string) string { return ingressAt(b, to, "") }},
+	} {
+		b.Run(bc.name, func(b *testing.B) {
+			addr := bc.start(b, backend(b))
+			const conns = 4
+			took := make([][]time.Duration, conns)
+			var wg sync.WaitGroup
+			b.ResetTimer()
+			for k := range conns {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					c, err := net.Dial("tcp", addr)
+					if err != nil {
+						b.Error(err)
+						return
+					}
+					defer c.Close()
+					r := textproto.NewReader(bufio.NewReader(c))
+					ticker := time.NewTicker(conns * time.Second / 140)
+					defer ticker.Stop()
+					for n := k; n < b.N; n += conns {
+						<-ticker.C
+						began := time.Now()
+						fmt.Fprintf(c, "GET /api/%016x HTTP/1.1\r\nHost: app\r\nX-Request-ID: r%d\r\nX-Priority-Class: quote-read\r\nX-Tier: plus\r\n"+
+							"X-Timeout: 5\r\nX-Call-Terms: units=1,spread=1,first=0\r\n\r\n", n%400, n)
+						if _, err := r.ReadLine(); err != nil {
+							b.Error(err)
+							return
+						}
+						h, err := r.ReadMIMEHeader()
+						if err != nil {
+							b.Error(err)
+							return
+						}
+						size, _ := strconv.Atoi(h.Get("Content-Length"))
+						r.R.Discard(size)
+						took[k] = append(took[k], time.Since(began))
+					}
+				}()
+			}
+			wg.Wait()
+			b.StopTimer()
+			all := slices.Concat(took...)
+			slices.Sort(all)
+			if len(all) > 0 {
+				b.ReportMetric(float64(all[len(all)/2].Microseconds()), "p50-us")
+				b.ReportMetric(float64(all[len(all)*99/100].Microseconds()), "p99-us")
+			}
+		})
+	}
+}
+
+func reverseProxy(b *testing.B, to string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: to})
+	proxy.Transport = &http.Transport{MaxIdleConnsPerHost: 1000}
+	s := &http.Server{Handler: proxy}
+	go s.Serve(l)
+	b.Cleanup(func() { s.Close() })
+	return l.Addr().String()
+}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -81,7 +81,7 @@
 func ask(t *testing.T, n *Node, tier string) int {
 	t.Helper()
 	ids++
-	r, err := http.NewRequest("GET", "http://"+n.Addr()+"/api/quotes/"+member, nil)
+	r, err := http.NewRequest("GET", "http://"+n.Addr()+"/api/"+member, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/retry/retry.go
@@ -0,0 +1,63 @@
+// Package retry decides whether a further attempt of a request may be afforded. It does no I/O and reads no clock.
+//
+// A further attempt is good where one server fails and others are well, and harmful where all fail: then each request
+// costs several attempts, which is what keeps the servers down. So attempts that may have run always cost a token, and
+// those that surely have not run (turned away, refused) cost one as soon as the group as a whole fails. Tokens are
+// saved up by first attempts, a tenth for each. Each ingress holds further attempts to a tenth of its own first ones, so
+// all of them together hold to a tenth of all, however the first ones are spread, and without talk.
+package retry
+
+import "math"
+
+const (
+	share       = 0.1  // tokens for a first attempt
+	most, first = 8, 4 // tokens that are kept, and at the start: a single failure is no storm
+	span        = 2.0  // s: how far back the group's health is looked at
+	failing     = 0.5  // share of the attempts lately that failed: the group does
+	least       = 8.0  // attempts lately: fewer tell nothing of a group
+)
+
+// Budget is that of one ingress for one group of servers. It begins with New.
+type Budget struct {
+	tokens        float64
+	tried, failed float64 // lately, older ones count less
+	at            float64 // when that was reckoned, in seconds
+}
+
+// New returns a budget with some tokens.
+func New() Budget { return Budget{tokens: first} }
+
+// First tells of a request's first attempt.
+func (b *Budget) First() { b.tokens = min(most, b.tokens+share) }
+
+// Ended tells how an attempt ended: served, or in any other way that is the server's. Now is in seconds.
+func (b *Budget) Ended(now float64, served bool) {
+	b.fade(now)
+	if b.tried++; !served {
+		b.failed++
+	}
+}
+
+func (b *Budget) fade(now float64) {
+	part := math.Exp(-max(0, now-b.at) / span)
+	b.tried, b.failed, b.at = b.tried*part, b.failed*part, max(b.at, now)
+}
+
+// Failing tells whether the group as a whole fails.
+func (b *Budget) Failing(now float64) bool {
+	b.fade(now)
+	return b.tried >= least && b.failed >= failing*b.tried
+}
+
+// Again tells whether a further attempt may be made, and takes a token if it costs one. Proven: the last one surely has
+// not run. Crowded: first attempts wait for a server; they go before what may have run.
+func (b *Budget) Again(now float64, proven, crowded bool) bool {
+	if proven && !b.Failing(now) {
+		return true
+	}
+	if b.tokens < 1 || !proven && crowded {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- a/internal/rig/load.go
+++ b/internal/rig/load.go
@@ -139,7 +139,7 @@
 	if q.unsafe {
 		method, class, body = "POST", "summary-send", "a summary"
 	}
-	ask, err := http.NewRequest(method, "http://"+addr+"/api/quotes/"+member(q.member), strings.NewReader(body))
+	ask, err := http.NewRequest(method, "http://"+addr+"/api/"+member(q.member), strings.NewReader(body))
 	if err != nil {
 		panic(err) // of our own making
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -3,6 +3,7 @@
 package upstream
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -97,6 +98,7 @@
 			return Result{Outcome: passhub.Refused}
 		}
 		v, body, err := p.attempt(ctx, c, m, until)
+		err = cmp.Or(err, v.Err)
 		if v.Keep {
 			p.put(c)
 		} else {
@@ -117,7 +119,7 @@
 	// A dial takes a while: the list may have changed, the client gone, the time run out.
 	addr, serving := p.lookup(c.backend)
 	left := time.Until(until)
-	if !serving || addr != c.addr || ctx.Err() != nil || left <= 0 {
+	if !link.Ready(serving, addr == c.addr, ctx.Err() != nil, left.Seconds()) {
 		return c.NotBegun(), nil, nil
 	}
 	c.SetDeadline(until)
--- a/passhub/attempts.go
+++ b/passhub/attempts.go
@@ -75,7 +75,9 @@
 		g.trials--
 	}
 	g.credit--
-	g.budget = min(budgetMost, g.budget+budgetShare)
+	if len(r.attempts) == 1 {
+		g.retries.First()
+	}
 	g.do(Send{r.ID, b.ID, timeout, !r.inside})
 }
 
@@ -83,12 +85,8 @@
 // run is sent again only where that is harmless, and while few are.
 func (g *Gateway) again(r *request, proven bool) {
 	late := g.now > r.aimAt && r.class.LateWorth == 0 || r.dueAt-g.now <= 2*g.s.AnswerSlack
-	afford, safe := proven || g.budget >= 1 && len(g.held) == 0, r.class.Effect == Safe
-	if afford && (safe || !r.mayHaveRun()) && !late && len(r.attempts) < g.s.MaxAttempts {
-		if b := g.pick(r); b != nil {
-			if !proven {
-				g.budget--
-			}
+	if (r.class.Effect == Safe || !r.mayHaveRun()) && !late && len(r.attempts) < g.s.MaxAttempts {
+		if b := g.pick(r); b != nil && g.retries.Again(g.now, proven, len(g.held) > 0) {
 			g.start(r, b)
 			return
 		}
@@ -136,6 +134,9 @@
 		b.ghosts++ // whether work stops when nobody waits for it is not told
 	}
 	g.judge(b, r, a, e)
+	if e.Outcome != Cancelled && e.Outcome != Skipped {
+		g.retries.Ended(g.now, e.Outcome == Done)
+	}
 	if e.Outcome == Done && e.Units > 0 && r.inside && r.c.plan.Rate > 0 && !r.answered {
 		r.c.level -= e.Units - r.Units
 	}
--- a/passhub/gateway.go
+++ b/passhub/gateway.go
@@ -4,6 +4,8 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+
+	"mulleinrouter/internal/retry"
 )
 
 const (
@@ -60,7 +62,6 @@
 	// Attempts.
 	holdShare                = 0.4       // of the aim: longest wait for a backend before a refusal
 	silentShare, silentTimes = 0.3, 10.0 // of the aim, of the usual time: a first attempt is given up
-	budgetShare, budgetMost  = 0.1, 8.0  // further attempts per request sent, and saved up
 )
 
 // Gateway decides for one gateway. It is not safe for use by several goroutines at once.
@@ -78,18 +79,19 @@
 	requests             map[uint64]*request
 	open, held           []*request // not yet answered, oldest first; waiting for a backend
 
-	lat              float64             // usual time of an answer, over the fleet
-	kinds            map[string]*float64 // the same by kind of backend
-	patience         map[string]Seconds  // of a class: the longest that a client has left for an answer
-	size             float64             // mean told size of the backends on the list
-	listed           int                 // backends on the list that serve
-	reach            int                 // backends in use: the first of its order that are not resting
-	trials           float64             // attempts saved up for backends that are not known to be good
-	sharing          float64             // how many times more gateways use a backend than a few
-	warm             int                 // of those in use, the surely warm ones, half of them at least
-	budget, sentRate float64             // further attempts saved up, sends a second
-	pace, credit     float64             // sends a second; sends saved up
-	creditAt         Seconds             // when credit was reckoned
+	lat          float64             // usual time of an answer, over the fleet
+	kinds        map[string]*float64 // the same by kind of backend
+	patience     map[string]Seconds  // of a class: the longest that a client has left for an answer
+	size         float64             // mean told size of the backends on the list
+	listed       int                 // backends on the list that serve
+	reach        int                 // backends in use: the first of its order that are not resting
+	trials       float64             // attempts saved up for backends that are not known to be good
+	sharing      float64             // how many times more gateways use a backend than a few
+	warm         int                 // of those in use, the surely warm ones, half of them at least
+	retries      retry.Budget
+	sentRate     float64 // sends a second
+	pace, credit float64 // sends a second; sends saved up
+	creditAt     Seconds // when credit was reckoned
 
 	silent  int     // counter calls in a row without an answer
 	muted   Seconds // the counter is left alone until then
@@ -106,7 +108,7 @@
 		s: s, rng: rand.New(rand.NewPCG(seed, 1)), classes: map[string]*Class{}, plans: map[string]*Terms{},
 		backends: map[string]*backend{}, customers: map[string]*customer{}, requests: map[uint64]*request{},
 		kinds: map[string]*float64{}, patience: map[string]Seconds{},
-		lat: latStart, size: 1, budget: budgetMost / 2, chance: 1, rated: 1, trials: reachLeast,
+		lat: latStart, size: 1, retries: retry.New(), chance: 1, rated: 1, trials: reachLeast,
 	}
 	g.s.Balancers, g.s.MaxAttempts = max(1, s.Balancers), max(1, s.MaxAttempts)
 	for i := range s.Classes {
