Refuse chunk lines that do not end with CRLF, found by fuzzing

Cause: a line of a chunked body's framing that ended with a bare LF was taken, where net/http takes it for none (RFC 9112, 7.1): two readers of one message could see two ends of it, and take what follows for different requests.

--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -310,7 +310,11 @@
 	case err != nil:
 		return nil, err
 	}
-	return bytes.TrimRight(line, "\r\n"), nil
+	line, ok := bytes.CutSuffix(line, []byte("\r\n"))
+	if !ok || bytes.IndexByte(line, '\r') >= 0 {
+		return nil, ErrFraming // RFC 9112, 7.1: where a reader takes less for a line's end, another sees another message
+	}
+	return line, nil
 }
 
 func closes(h textproto.MIMEHeader, proto string) bool {
