Say once what an outcome proves, how sums of use add up and what a plan's figures are

Cause: read again, the change had several things twice: what proves that nothing ran stood in the module and in the life of a request, sums of use were added up by hand in ten places, a plan's figures were listed for checking and for showing, and both ways of closing a segment ended alike.

Change: passhub.Outcome.Proves, usage.Sum.Plus, one table of figures, one end of a segment's file, one opening of a folder of records.

--- a/internal/attempt/life.go
+++ b/internal/attempt/life.go
@@ -72,18 +72,12 @@
 	return nil
 }
 
-// Proves tells whether an outcome proves that nothing ran and nothing will (PROTOCOL, "Ingresses to quote servers").
-// A cancel proves nothing by itself: one that came before anything was written whole is told as Skipped.
-func Proves(o passhub.Outcome) bool {
-	return o == passhub.Busy || o == passhub.Refused || o == passhub.Skipped
-}
-
 // Ended is the end of the attempt that is out. It tells whether that was the last word: served, or nobody waits.
 func (l *Life) Ended(o passhub.Outcome) (over bool, err error) {
 	if l.phase != Out && l.phase != Deserted {
 		return false, fmt.Errorf("an attempt ends while %v: %w", l.phase, ErrPhase)
 	}
-	l.mayRun = l.mayRun || !Proves(o)
+	l.mayRun = l.mayRun || !o.Proves()
 	if l.phase == Deserted && !mutated("deserted-waits") || o == passhub.Done {
 		l.phase = Over
 		return true, nil
--- a/internal/cli/usage.go
+++ b/internal/cli/usage.go
@@ -27,6 +27,14 @@
 	Show   UsageShow   `cmd:"" help:"Show what is recorded."`
 }
 
+// opened opens the store of a folder of records, which must be there.
+func opened(e *export.Exporter) error {
+	if err := exists(e.Dir); err != nil {
+		return err
+	}
+	return e.Open()
+}
+
 // UsageExport exports.
 type UsageExport struct {
 	Dir    string `arg:"" type:"path" help:"Folder of the records."`
@@ -39,9 +47,6 @@
 
 // Run exports.
 func (c *UsageExport) Run(p *Program) error {
-	if err := exists(c.Dir); err != nil {
-		return err
-	}
 	keep, err := time.ParseDuration(c.Keep)
 	if err != nil || keep < 0 {
 		return fmt.Errorf("--keep: not a span such as 168h: %q", c.Keep)
@@ -50,7 +55,7 @@
 	defer stop()
 	logger := newLogger(p.err, p.LogFormat)
 	e := &export.Exporter{Dir: c.Dir, Endpoint: c.To, Keep: keep, Log: logger}
-	if err := e.Open(); err != nil {
+	if err := opened(e); err != nil {
 		return err
 	}
 	defer e.Close()
@@ -89,11 +94,8 @@
 
 // Run checks.
 func (c *UsageVerify) Run(p *Program) error {
-	if err := exists(c.Dir); err != nil {
-		return err
-	}
 	e := &export.Exporter{Dir: c.Dir, Log: newLogger(p.err, p.LogFormat)}
-	if err := e.Open(); err != nil {
+	if err := opened(e); err != nil {
 		return err
 	}
 	defer e.Close()
@@ -102,7 +104,7 @@
 		return err
 	}
 	units := func(s usage.Sum) string {
-		return fmt.Sprintf("%.6g units in %d tries", float64(s.Units)/usage.Micro, s.Tries)
+		return fmt.Sprintf("%.6g units in %d tries", s.Whole(), s.Tries)
 	}
 	t := table(p.out)
 	fmt.Fprintf(t, "segments\t%d, with %d records\n", v.Segments, v.Records)
@@ -157,7 +159,7 @@
 		t := table(p.out)
 		fmt.Fprintln(t, "minute\tmember\tplan\trevision\tclass\tbeyond\tunknown\ttries\tunits")
 		for _, r := range rows {
-			fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s\t%v\t%v\t%d\t%.6g\n", minute(r.Minute), r.Member, r.Plan, r.Revision, r.Class, r.Beyond, r.Unknown, r.Tries, float64(r.Units)/usage.Micro)
+			fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s\t%v\t%v\t%d\t%.6g\n", minute(r.Minute), r.Member, r.Plan, r.Revision, r.Class, r.Beyond, r.Unknown, r.Tries, r.Whole())
 		}
 		return t.Flush()
 	}
@@ -175,7 +177,7 @@
 			byName[name] = l
 		}
 		l.Tries += r.Tries
-		units := float64(r.Units) / usage.Micro
+		units := r.Whole()
 		switch {
 		case r.Unknown:
 			l.Unknown += units
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -78,7 +78,6 @@
 	aim, deadline = 1.0, 3.0
 	slack         = 0.05
 	grace         = 0.25 // after hearing that a server drains
-	connectFor    = 0.25
 	tick          = 0.05
 )
 
@@ -140,8 +139,6 @@
 	tries    int
 	mayRun   int // attempts that may have run, in truth
 	retried  bool
-	taken    bool
-	settled  passhub.Seconds
 	finished bool
 }
 
@@ -243,7 +240,7 @@
 
 // ask has a client send a request.
 func (w *World) ask(send, repeat bool) {
-	c := &client{name: fmt.Sprint("c", len(w.clients)+1), send: send, at: w.now, taken: true}
+	c := &client{name: fmt.Sprint("c", len(w.clients)+1), send: send, at: w.now}
 	w.clients = append(w.clients, c)
 	class, doors := "read", 1
 	if send {
--- a/internal/plans/plans.go
+++ b/internal/plans/plans.go
@@ -75,12 +75,7 @@
 			bad("a plan needs a name of its own, one word", "plan", p.Name)
 		}
 		byName[p.Name] = p
-		for _, f := range []struct {
-			key   string
-			value float64
-		}{{"rate", p.Rate}, {"burst", p.Burst}, {"open", float64(p.Open)}, {"price", p.Price},
-			{"excess_worth", p.ExcessWorth}, {"beyond_costs", p.BeyondCosts},
-			{"ceiling_rate", p.CeilingRate}, {"ceiling_depth", p.CeilingDepth}, {"ceiling_slack", p.CeilingSlack}} {
+		for _, f := range figures(p) {
 			if !finite(f.value) {
 				bad("must be a number, 0 or more", "plan", p.Name, f.key)
 			}
@@ -288,14 +283,21 @@
 	return all
 }
 
+// figure is one of a plan's, under its key in files.
+type figure struct {
+	key   string
+	value float64
+}
+
+func figures(p passhub.Plan) []figure {
+	return []figure{{"rate", p.Rate}, {"burst", p.Burst}, {"open", float64(p.Open)}, {"price", p.Price}, {"excess_worth", p.ExcessWorth},
+		{"beyond_costs", p.BeyondCosts}, {"ceiling_rate", p.CeilingRate}, {"ceiling_depth", p.CeilingDepth}, {"ceiling_slack", p.CeilingSlack}}
+}
+
 // Figures tells a plan's figures in a line, those that are there.
 func Figures(p passhub.Plan) string {
 	var words []string
-	for _, f := range []struct {
-		key   string
-		value float64
-	}{{"rate", p.Rate}, {"burst", p.Burst}, {"open", float64(p.Open)}, {"price", p.Price}, {"excess_worth", p.ExcessWorth},
-		{"beyond_costs", p.BeyondCosts}, {"ceiling_rate", p.CeilingRate}, {"ceiling_depth", p.CeilingDepth}, {"ceiling_slack", p.CeilingSlack}} {
+	for _, f := range figures(p) {
 		if f.value != 0 {
 			words = append(words, fmt.Sprintf("%s=%g", f.key, f.value))
 		}
--- a/internal/rig/report.go
+++ b/internal/rig/report.go
@@ -47,9 +47,6 @@
 	Problems     []string
 	arrivals     map[string]standin.Arrival
 	requests     map[string]*request
-	begun, ended time.Time
-	changed      time.Time
-	members      int
 }
 
 func (r *Run) changedBy(now time.Time) bool {
@@ -67,11 +64,7 @@
 
 // compare gathers what clients and quote servers saw.
 func (r *Run) compare() *Report {
-	p := &Report{Events: r.events, arrivals: map[string]standin.Arrival{}, requests: r.load.all, begun: r.begun, ended: time.Now(),
-		members: r.Members}
-	if holds := r.changed.Load(); holds != nil {
-		p.changed = *holds
-	}
+	p := &Report{Events: r.events, arrivals: map[string]standin.Arrival{}, requests: r.load.all}
 	for _, q := range r.quotes {
 		for id, a := range q.Arrived() {
 			was := p.arrivals[id]
@@ -187,7 +180,7 @@
 		l := &p.Lines[n]
 		for k, s := range tally {
 			if i := number(k.Member); i >= 0 && i < r.Members && r.planOf(i) == l.Name {
-				units := float64(s.Units) / usage.Micro
+				units := s.Whole()
 				switch {
 				case k.Unknown:
 					l.Unknown += units
@@ -207,10 +200,11 @@
 // used is what members on the plan basic who ask for far more used from two cycles after the change on, as their
 // tries arrived, by what their quotas allow.
 func (r *Run) used(p *Report, who func(i int) bool) float64 {
-	if p.changed.IsZero() {
+	changed := r.changed.Load()
+	if changed == nil {
 		return 0
 	}
-	from := p.changed.Add(4 * time.Second) // two cycles of two seconds: the least there are, with quotas above 4
+	from := changed.Add(4 * time.Second) // two cycles of two seconds: the least there are, with quotas above 4
 	end := r.begun.Add(time.Duration(r.Seconds * float64(time.Second)))
 	span := end.Sub(from).Seconds()
 	if span <= 0 {
@@ -263,10 +257,9 @@
 			l.Arrived, l.Billed, l.Beyond, l.Unknown)
 	}
 	t.Flush()
-	units := func(s usage.Sum) float64 { return float64(s.Units) / usage.Micro }
 	fmt.Fprintf(w, "\narrived whole at the quote servers  %.0f units in %d tries\n", p.Arrived, p.ArrivedTries)
-	fmt.Fprintf(w, "billed                              %.0f units in %d tries\n", units(p.Billed), p.Billed.Tries)
-	fmt.Fprintf(w, "not known whether they arrived      %.0f units in %d tries, listed apart\n", units(p.Unknown), p.Unknown.Tries)
+	fmt.Fprintf(w, "billed                              %.0f units in %d tries\n", p.Billed.Whole(), p.Billed.Tries)
+	fmt.Fprintf(w, "not known whether they arrived      %.0f units in %d tries, listed apart\n", p.Unknown.Whole(), p.Unknown.Tries)
 	verdict := "yes"
 	if !p.Covered {
 		verdict = "NO"
--- a/internal/standin/billing.go
+++ b/internal/standin/billing.go
@@ -136,6 +136,6 @@
 	for _, row := range batch.Rows {
 		b.tally.Merge(usage.Tally{row.Key: row.Sum})
 	}
-	b.unmetered = usage.Sum{Tries: b.unmetered.Tries + batch.Unmetered.Tries, Units: b.unmetered.Units + batch.Unmetered.Units}
+	b.unmetered = b.unmetered.Plus(batch.Unmetered)
 	return true
 }
--- a/internal/usage/export/export.go
+++ b/internal/usage/export/export.go
@@ -261,7 +261,7 @@
 			b.Damaged += report.Damaged + min(report.Lost, 1)
 		}
 		tally.Merge(rows)
-		b.Unmetered = usage.Sum{Tries: b.Unmetered.Tries + report.Missed.Tries, Units: b.Unmetered.Units + report.Missed.Units}
+		b.Unmetered = b.Unmetered.Plus(report.Missed)
 		if b.First == 0 {
 			b.First = s.Number
 		}
--- a/internal/usage/export/verify.go
+++ b/internal/usage/export/verify.go
@@ -87,9 +87,9 @@
 			bad("batch %d says otherwise than its segments %d to %d", b.Number, b.First, b.Last)
 		}
 		known, unknown := said.Total()
-		v.Known = usage.Sum{Tries: v.Known.Tries + known.Tries, Units: v.Known.Units + known.Units}
-		v.Unknown = usage.Sum{Tries: v.Unknown.Tries + unknown.Tries, Units: v.Unknown.Units + unknown.Units}
-		v.Unmetered = usage.Sum{Tries: v.Unmetered.Tries + b.Unmetered.Tries, Units: v.Unmetered.Units + b.Unmetered.Units}
+		v.Known = v.Known.Plus(known)
+		v.Unknown = v.Unknown.Plus(unknown)
+		v.Unmetered = v.Unmetered.Plus(b.Unmetered)
 		return nil
 	})
 	if err != nil {
@@ -98,7 +98,7 @@
 	for n, t := range rows {
 		if n > batched {
 			known, unknown := t.Total()
-			v.Waiting = usage.Sum{Tries: v.Waiting.Tries + known.Tries + unknown.Tries, Units: v.Waiting.Units + known.Units + unknown.Units}
+			v.Waiting = v.Waiting.Plus(known).Plus(unknown)
 		}
 	}
 	return v, nil
--- a/internal/usage/record.go
+++ b/internal/usage/record.go
@@ -213,7 +213,7 @@
 		}
 		report.Records++
 		if r.Kind == Unmetered {
-			report.Missed = Sum{report.Missed.Tries + r.Missed.Tries, report.Missed.Units + r.Missed.Units}
+			report.Missed = report.Missed.Plus(r.Missed)
 		}
 		each(r)
 		at, report.End = next, next
--- a/internal/usage/segment/segment.go
+++ b/internal/usage/segment/segment.go
@@ -193,7 +193,7 @@
 			next.path, next.used, next.begun = path, len(head), w.now()
 			w.in = next
 			if w.missed.Tries > 0 {
-				w.log.WithFields(logrus.Fields{"code": "usage-resumed", "tries": w.missed.Tries, "units": float64(w.missed.Units) / usage.Micro}).Warn("use is recorded again; so much was not")
+				w.log.WithFields(logrus.Fields{"code": "usage-resumed", "tries": w.missed.Tries, "units": w.missed.Whole()}).Warn("use is recorded again; so much was not")
 				w.append(&usage.Record{Kind: usage.Unmetered, Missed: w.missed})
 				w.missed = usage.Sum{}
 			}
@@ -246,8 +246,7 @@
 	defer w.Unlock()
 	w.seq++
 	if !w.append(&usage.Record{Kind: usage.Sent, Seq: w.seq, Try: try}) {
-		w.missed.Tries++
-		w.missed.Units += try.Units
+		w.missed = w.missed.Plus(usage.Sum{Tries: 1, Units: try.Units})
 		return 0
 	}
 	return w.seq
@@ -334,9 +333,14 @@
 // seal closes a segment that nobody writes to any more, and gives it its lasting name.
 func (w *Writer) seal(f *file) error {
 	binary.LittleEndian.PutUint64(f.data[40:], uint64(w.now().UnixMilli()))
-	err := errors.Join(syscall.Munmap(f.data), f.Truncate(int64(f.used)), f.Sync(), f.Close())
+	return errors.Join(syscall.Munmap(f.data), lasting(f.File, f.path, f.used))
+}
+
+// lasting ends a segment's file behind its last record, and gives it its lasting name once all of it is on the disk.
+func lasting(f *os.File, path string, used int) error {
+	err := errors.Join(f.Truncate(int64(used)), f.Sync(), f.Close())
 	if err == nil {
-		err = os.Rename(f.path, strings.TrimSuffix(f.path, openEnd)+sealedEnd)
+		err = os.Rename(path, strings.TrimSuffix(path, openEnd)+sealedEnd)
 	}
 	return err
 }
@@ -361,12 +365,10 @@
 	}
 	var sealed [8]byte
 	binary.LittleEndian.PutUint64(sealed[:], uint64(at.UnixMilli()))
-	_, err = f.WriteAt(sealed[:], 40)
-	err = errors.Join(err, f.Truncate(int64(report.End)), f.Sync(), f.Close())
-	if err == nil {
-		err = os.Rename(path, strings.TrimSuffix(path, openEnd)+sealedEnd)
+	if _, err = f.WriteAt(sealed[:], 40); err != nil {
+		return errors.Join(err, f.Close())
 	}
-	return err
+	return lasting(f, path, report.End)
 }
 
 // Close closes the segment that is written, and the folder for others to write to. Records that come later are
@@ -379,7 +381,7 @@
 	}
 	w.closed = true
 	if w.missed.Tries > 0 {
-		w.log.WithFields(logrus.Fields{"code": "usage-unmetered", "tries": w.missed.Tries, "units": float64(w.missed.Units) / usage.Micro}).Error("so much use was sent on and is recorded nowhere but here")
+		w.log.WithFields(logrus.Fields{"code": "usage-unmetered", "tries": w.missed.Tries, "units": w.missed.Whole()}).Error("so much use was sent on and is recorded nowhere but here")
 	}
 	if w.in != nil {
 		w.full = append(w.full, w.in)
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -81,6 +81,12 @@
 	Units int64 `json:"micro_units"`
 }
 
+// Plus adds another sum.
+func (s Sum) Plus(o Sum) Sum { return Sum{s.Tries + o.Tries, s.Units + o.Units} }
+
+// Whole is the sum in whole units.
+func (s Sum) Whole() float64 { return float64(s.Units) / Micro }
+
 // Row is one line of a bill.
 type Row struct {
 	Key
@@ -96,15 +102,13 @@
 		return
 	}
 	k := Key{try.Tenant, try.Member, try.Plan, try.Revision, try.Class, try.Minute, try.Beyond, a != Whole}
-	s := t[k]
-	t[k] = Sum{s.Tries + 1, s.Units + try.Units}
+	t[k] = t[k].Plus(Sum{1, try.Units})
 }
 
 // Merge adds another tally.
 func (t Tally) Merge(other Tally) {
 	for k, s := range other {
-		is := t[k]
-		t[k] = Sum{is.Tries + s.Tries, is.Units + s.Units}
+		t[k] = t[k].Plus(s)
 	}
 }
 
@@ -126,9 +130,9 @@
 func (t Tally) Total() (known, unknown Sum) {
 	for k, s := range t {
 		if k.Unknown {
-			unknown = Sum{unknown.Tries + s.Tries, unknown.Units + s.Units}
+			unknown = unknown.Plus(s)
 		} else {
-			known = Sum{known.Tries + s.Tries, known.Units + s.Units}
+			known = known.Plus(s)
 		}
 	}
 	return known, unknown
--- a/passhub/attempts.go
+++ b/passhub/attempts.go
@@ -122,7 +122,7 @@
 		return
 	}
 	a := &r.attempts[e.Attempt]
-	b, proven := a.b, e.Outcome == Busy || e.Outcome == Refused || e.Outcome == Skipped
+	b, proven := a.b, e.Outcome.Proves()
 	a.ended, a.mayRun = true, !proven
 	r.out--
 	r.c.open--
--- a/passhub/passhub.go
+++ b/passhub/passhub.go
@@ -159,6 +159,10 @@
 	Skipped
 )
 
+// Proves tells whether an outcome proves that nothing ran and nothing will (PROTOCOL, "Ingresses to quote servers"). A
+// cancel proves nothing by itself: one that came before anything was written whole is told as Skipped.
+func (o Outcome) Proves() bool { return o == Busy || o == Refused || o == Skipped }
+
 // AttemptEnded tells how an attempt ended; each Send gets exactly one.
 type AttemptEnded struct {
 	ID      uint64
