Measure with one client in both benchmarks, and name a sum in units for what it is

Cause: the two benchmarks of the request path each wrote requests and read answers by themselves, in two ways, and Sum.Whole beside the arrival Whole read as if it told of arrivals.

Change: one client with one ask serves both benchmarks; the method is Sum.InUnits.

--- a/internal/cli/usage.go
+++ b/internal/cli/usage.go
@@ -104,7 +104,7 @@
 		return err
 	}
 	units := func(s usage.Sum) string {
-		return fmt.Sprintf("%.6g units in %d tries", s.Whole(), s.Tries)
+		return fmt.Sprintf("%.6g units in %d tries", s.InUnits(), s.Tries)
 	}
 	t := table(p.out)
 	fmt.Fprintf(t, "segments\t%d, with %d records\n", v.Segments, v.Records)
@@ -159,7 +159,7 @@
 		t := table(p.out)
 		fmt.Fprintln(t, "minute\tmember\tplan\trevision\tclass\tbeyond\tunknown\ttries\tunits")
 		for _, r := range rows {
-			fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s\t%v\t%v\t%d\t%.6g\n", minute(r.Minute), r.Member, r.Plan, r.Revision, r.Class, r.Beyond, r.Unknown, r.Tries, r.Whole())
+			fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s\t%v\t%v\t%d\t%.6g\n", minute(r.Minute), r.Member, r.Plan, r.Revision, r.Class, r.Beyond, r.Unknown, r.Tries, r.InUnits())
 		}
 		return t.Flush()
 	}
@@ -177,7 +177,7 @@
 			byName[name] = l
 		}
 		l.Tries += r.Tries
-		units := r.Whole()
+		units := r.InUnits()
 		switch {
 		case r.Unknown:
 			l.Unknown += units
--- a/internal/node/bench_test.go
+++ b/internal/node/bench_test.go
@@ -143,6 +143,49 @@
 	}
 }
 
+// client is one connection to what is measured. It makes little garbage of its own.
+type client struct {
+	net.Conn
+	r   *textproto.Reader
+	out bytes.Buffer
+}
+
+func newClient(addr string) (*client, error) {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return &client{Conn: c, r: textproto.NewReader(bufio.NewReader(c))}, nil
+}
+
+// ask sends a request, reads its answer whole, and tells whether it was served.
+func (c *client) ask(n int64) (served bool, err error) {
+	c.out.Reset()
+	fmt.Fprintf(&c.out, "GET /api/%016x HTTP/1.1\r\nHost: app\r\nX-Request-ID: r%d\r\nX-Priority-Class: quote-read\r\nX-Tier: plus\r\n"+
+		"X-Timeout: 5\r\nX-Call-Terms: units=1,spread=1,first=0\r\n\r\n", n%400, n)
+	if _, err := c.Write(c.out.Bytes()); err != nil {
+		return false, err
+	}
+	line, err := c.r.ReadLine()
+	if err != nil {
+		return false, err
+	}
+	served = line == "HTTP/1.1 200 OK"
+	for size := 0; ; {
+		line, err := c.r.ReadLineBytes()
+		if err != nil {
+			return false, err
+		}
+		if len(line) == 0 {
+			_, err = c.r.R.Discard(size)
+			return served, err
+		}
+		if v, ok := bytes.CutPrefix(line, []byte("Content-Length: ")); ok {
+			size, _ = strconv.Atoi(string(v))
+		}
+	}
+}
+
 // load sends b.N requests over some connections.
 func load(b *testing.B, addr string) {
 	const conns = 128
@@ -156,52 +199,21 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			c, err := net.Dial("tcp", addr)
+			c, err := newClient(addr)
 			if err != nil {
 				b.Error(err)
 				return
 			}
 			defer c.Close()
-			r := textproto.NewReader(bufio.NewReader(c))
-			var out bytes.Buffer
-			for {
-				n := next.Add(1)
-				if n > int64(b.N) {
-					return
-				}
-				out.Reset()
-				fmt.Fprintf(&out, "GET /api/%016x HTTP/1.1\r\nHost: app\r\nX-Request-ID: r%d\r\nX-Priority-Class: quote-read\r\nX-Tier: plus\r\n"+
-					"X-Timeout: 5\r\nX-Call-Terms: units=1,spread=1,first=0\r\n\r\n", n%400, n)
-				if _, err := c.Write(out.Bytes()); err != nil {
-					b.Error(err)
-					return
-				}
-				line, err := r.ReadLine()
+			for n := next.Add(1); n <= int64(b.N); n = next.Add(1) {
+				served, err := c.ask(n)
 				if err != nil {
 					b.Error(err)
 					return
 				}
-				if line != "HTTP/1.1 200 OK" {
+				if !served {
 					refused.Add(1)
 				}
-				size := 0
-				for {
-					line, err := r.ReadLineBytes()
-					if err != nil {
-						b.Error(err)
-						return
-					}
-					if len(line) == 0 {
-						break
-					}
-					if v, ok := bytes.CutPrefix(line, []byte("Content-Length: ")); ok {
-						size, _ = strconv.Atoi(string(v))
-					}
-				}
-				if _, err := r.R.Discard(size); err != nil {
-					b.Error(err)
-					return
-				}
 			}
 		}()
 	}
@@ -235,31 +247,21 @@
 				wg.Add(1)
 				go func() {
 					defer wg.Done()
-					c, err := net.Dial("tcp", addr)
+					c, err := newClient(addr)
 					if err != nil {
 						b.Error(err)
 						return
 					}
 					defer c.Close()
-					r := textproto.NewReader(bufio.NewReader(c))
 					ticker := time.NewTicker(conns * time.Second / 140)
 					defer ticker.Stop()
 					for n := k; n < b.N; n += conns {
 						<-ticker.C
 						began := time.Now()
-						fmt.Fprintf(c, "GET /api/%016x HTTP/1.1\r\nHost: app\r\nX-Request-ID: r%d\r\nX-Priority-Class: quote-read\r\nX-Tier: plus\r\n"+
-							"X-Timeout: 5\r\nX-Call-Terms: units=1,spread=1,first=0\r\n\r\n", n%400, n)
-						if _, err := r.ReadLine(); err != nil {
-							b.Error(err)
-							return
-						}
-						h, err := r.ReadMIMEHeader()
-						if err != nil {
+						if _, err := c.ask(int64(n)); err != nil {
 							b.Error(err)
 							return
 						}
-						size, _ := strconv.Atoi(h.Get("Content-Length"))
-						r.R.Discard(size)
 						took[k] = append(took[k], time.Since(began))
 					}
 				}()
--- a/internal/rig/report.go
+++ b/internal/rig/report.go
@@ -180,7 +180,7 @@
 		l := &p.Lines[n]
 		for k, s := range tally {
 			if i := number(k.Member); i >= 0 && i < r.Members && r.planOf(i) == l.Name {
-				units := s.Whole()
+				units := s.InUnits()
 				switch {
 				case k.Unknown:
 					l.Unknown += units
@@ -258,8 +258,8 @@
 	}
 	t.Flush()
 	fmt.Fprintf(w, "\narrived whole at the quote servers  %.0f units in %d tries\n", p.Arrived, p.ArrivedTries)
-	fmt.Fprintf(w, "billed                              %.0f units in %d tries\n", p.Billed.Whole(), p.Billed.Tries)
-	fmt.Fprintf(w, "not known whether they arrived      %.0f units in %d tries, listed apart\n", p.Unknown.Whole(), p.Unknown.Tries)
+	fmt.Fprintf(w, "billed                              %.0f units in %d tries\n", p.Billed.InUnits(), p.Billed.Tries)
+	fmt.Fprintf(w, "not known whether they arrived      %.0f units in %d tries, listed apart\n", p.Unknown.InUnits(), p.Unknown.Tries)
 	verdict := "yes"
 	if !p.Covered {
 		verdict = "NO"
--- a/internal/usage/segment/segment.go
+++ b/internal/usage/segment/segment.go
@@ -193,7 +193,7 @@
 			next.path, next.used, next.begun = path, len(head), w.now()
 			w.in = next
 			if w.missed.Tries > 0 {
-				w.log.WithFields(logrus.Fields{"code": "usage-resumed", "tries": w.missed.Tries, "units": w.missed.Whole()}).Warn("use is recorded again; so much was not")
+				w.log.WithFields(logrus.Fields{"code": "usage-resumed", "tries": w.missed.Tries, "units": w.missed.InUnits()}).Warn("use is recorded again; so much was not")
 				w.append(&usage.Record{Kind: usage.Unmetered, Missed: w.missed})
 				w.missed = usage.Sum{}
 			}
@@ -381,7 +381,7 @@
 	}
 	w.closed = true
 	if w.missed.Tries > 0 {
-		w.log.WithFields(logrus.Fields{"code": "usage-unmetered", "tries": w.missed.Tries, "units": w.missed.Whole()}).Error("so much use was sent on and is recorded nowhere but here")
+		w.log.WithFields(logrus.Fields{"code": "usage-unmetered", "tries": w.missed.Tries, "units": w.missed.InUnits()}).Error("so much use was sent on and is recorded nowhere but here")
 	}
 	if w.in != nil {
 		w.full = append(w.full, w.in)
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -84,8 +84,8 @@
 // Plus adds another sum.
 func (s Sum) Plus(o Sum) Sum { return Sum{s.Tries + o.Tries, s.Units + o.Units} }
 
-// Whole is the sum in whole units.
-func (s Sum) Whole() float64 { return float64(s.Units) / Micro }
+// InUnits is the sum in units: micro-units are for adding up.
+func (s Sum) InUnits() float64 { return float64(s.Units) / Micro }
 
 // Row is one line of a bill.
 type Row struct {
