--- a/passhub/attempts.go
+++ b/passhub/attempts.go
@@ -74,7 +74,6 @@
 	if !b.good {
 		g.trials--
 	}
-	g.credit--
 	if len(r.attempts) == 1 {
 		g.retries.First()
 	}
@@ -183,7 +182,6 @@
 			a := &r.attempts[i]
 			if !a.ended && !a.slow && g.now-a.sent > slowAt*r.class.Aim {
 				a.slow = true
-				g.step(true)
 				g.adapt(a.b, true)
 			}
 			if !a.ended && !a.late && g.now-a.sent > r.class.Aim {
--- a/passhub/gateway.go
+++ b/passhub/gateway.go
@@ -31,6 +31,8 @@
 	validMost            = 4.0         // cycles for which a total that keeps saying the same is believed
 	chanceUp, chanceDown = 0.005, 0.75 // added on an answer, times this on none
 	chanceCuts           = 0.1         // s between cuts: a stall leaves many unanswered, and is one sign
+	yieldPower           = 4.0         // of the chance: calls that decide nothing give way so much sooner
+	wideBursts           = 2.0         // bursts that a request at each gateway may be while unwatched
 	chanceLeast          = 0.02        // or no answer would ever raise it again
 
 	// Bounded concurrency: what a backend may hold from this gateway, learned from its answers.
@@ -41,10 +43,6 @@
 	limitGrow, limitCut   = 0.1, 0.7   // for each bound's worth of good answers; times this on a slow one
 	excessRoom            = 0.5        // of the bound for work beyond a quota, so that paid work finds room
 
-	// Pace: what this gateway sends in all, learned from all its answers.
-	paceLate, paceGain  = 0.25, 0.15 // share of slow answers at which it rests; down for a slow one
-	paceFree, paceBurst = 2.0, 2.0   // times the rate of sending, so that few answers cut it; sends saved up
-
 	// Which backends a gateway uses.
 	reachLeast, reachFew  = 4.0, 4.0 // backends; gateways to a backend, where there are as many
 	reachSpan             = 1.0      // s in which each is met once: thinner evidence tells nothing
@@ -79,19 +77,17 @@
 	requests             map[uint64]*request
 	open, held           []*request // not yet answered, oldest first; waiting for a backend
 
-	lat          float64             // usual time of an answer, over the fleet
-	kinds        map[string]*float64 // the same by kind of backend
-	patience     map[string]Seconds  // of a class: the longest that a client has left for an answer
-	size         float64             // mean told size of the backends on the list
-	listed       int                 // backends on the list that serve
-	reach        int                 // backends in use: the first of its order that are not resting
-	trials       float64             // attempts saved up for backends that are not known to be good
-	sharing      float64             // how many times more gateways use a backend than a few
-	warm         int                 // of those in use, the surely warm ones, half of them at least
-	retries      retry.Budget
-	sentRate     float64 // sends a second
-	pace, credit float64 // sends a second; sends saved up
-	creditAt     Seconds // when credit was reckoned
+	lat      float64             // usual time of an answer, over the fleet
+	kinds    map[string]*float64 // the same by kind of backend
+	patience map[string]Seconds  // of a class: the longest that a client has left for an answer
+	size     float64             // mean told size of the backends on the list
+	listed   int                 // backends on the list that serve
+	reach    int                 // backends in use: the first of its order that are not resting
+	trials   float64             // attempts saved up for backends that are not known to be good
+	sharing  float64             // how many times more gateways use a backend than a few
+	warm     int                 // of those in use, the surely warm ones, half of them at least
+	retries  retry.Budget
+	sentRate float64 // sends a second
 
 	silent  int     // counter calls in a row without an answer
 	muted   Seconds // the counter is left alone until then
--- a/passhub/quotas.go
+++ b/passhub/quotas.go
@@ -249,11 +249,21 @@
 
 // callChance is how likely a request of a thin customer asks the counter. What is added is divided by it,
 // so it must not weigh much in a cycle: large quotas need few calls, small ones all. When the counter cannot
-// take them all, some customers are not watched, the same ones at all gateways: half a total is noise.
+// take them all, some customers are not watched, the same ones at all gateways, for half a total is noise;
+// first those whose answer decides nothing, for they are sent on beyond the quota, too. But where one request
+// for each gateway is more than the burst, not to watch is worse: then all are sampled more thinly.
 func (g *Gateway) callChance(c *customer, r *request) float64 {
 	least := min(1, c.units(r)/(weightMost*g.rate(c)*c.period))
-	if float64(c.hash)/math.MaxUint32*least > g.chance && g.unheard < muteAfter { // else who tries it?
-		return 0
+	if g.unheard < muteAfter { // else who tries it?
+		watched, decides := g.chance, c.plan.ExcessWorth <= c.plan.BeyondCosts
+		if !decides {
+			watched = math.Pow(g.chance, yieldPower)
+		} else if least > g.chance && c.doors*max(1, g.s.MaxUnits) > wideBursts*c.plan.Burst {
+			return g.chance
+		}
+		if float64(c.hash)/math.MaxUint32*least > watched {
+			return 0
+		}
 	}
 	return least + (1-least)*min(1, (g.now-c.totalAt)/c.validFor)*g.chance
 }
--- a/passhub/servers.go
+++ b/passhub/servers.go
@@ -73,9 +73,6 @@
 // fleet is tried less. Guards against dead, cut off, hanging and slow ones too; hurts where traffic gathers
 // at gateways that share backends by chance, until reach has grown, and finds late one that is well again.
 func (g *Gateway) pick(r *request) (best *backend) {
-	if !g.paced(r) {
-		return nil
-	}
 	// When all look bad, none is the outlier: the fault may be this gateway's own link. Full is not bad.
 	up := func(b *backend) bool { return b.listed && b.Serving && g.now >= b.downTill }
 	healthy, bestCost, used, thin := slices.ContainsFunc(g.order, up), math.Inf(1), 1, g.reach < g.listed
@@ -141,13 +138,15 @@
 	switch e.Outcome {
 	case Done:
 		if !a.late {
+			// A trial that went well costs nothing, or all gateways stay with the few that they know and
+			// drown them (join+vast, six in ten replaced: three of four requests waited for a trial).
+			if g.trials += trialShare; !b.good {
+				g.trials++
+			}
+			g.trials = min(reachLeast, g.trials)
 			b.bad, b.busy, b.good = 0, 0, true
-			g.trials = min(reachLeast, g.trials+trialShare)
 		}
 		b.seen++
-		if !a.slow {
-			g.step(e.Took > slowAt*r.class.Aim)
-		}
 		b.errs, b.lat = b.errs*(1-errAlpha), b.lat+latAlpha*(e.Took-b.lat)
 		*b.usual += latAlpha / 2 * (e.Took - *b.usual)
 		g.lat += latAlpha / 4 * (e.Took - g.lat)
@@ -155,7 +154,6 @@
 			g.adapt(b, e.Took > slowAt*r.class.Aim)
 		}
 	case Busy:
-		g.step(true)
 		b.bad, b.good, b.busy = 0, false, min(b.busy+1, 4)
 		b.fullTill = g.now + busyFor*math.Exp2(float64(b.busy))
 		g.adapt(b, true)
@@ -163,13 +161,14 @@
 		b.errs += errAlpha * (1 - b.errs)
 		if e.Outcome == TimedOut {
 			if !a.slow {
-				g.step(true)
 				g.adapt(b, true)
 			}
 			b.lat = max(b.lat, b.lat+latAlpha*(e.Took-b.lat))
 		}
 		if !a.late {
-			g.failed(b, e.Outcome == Refused)
+			// A sound one fails one request in a thousand: one error is evidence enough for all the gateways
+			// that pay it, where others stand by.
+			g.failed(b, e.Outcome == Refused || e.Outcome == Failed && g.reach < g.listed)
 		}
 	}
 }
@@ -195,28 +194,3 @@
 		b.limit, b.cutAt = max(limitLeast/g.sharing, b.limit*limitCut), g.now
 	}
 }
-
-// paced tells whether the pace lets another attempt through now. Where all backends are in use, there is
-// evidence of each, and their bounds do.
-func (g *Gateway) paced(r *request) bool {
-	g.credit = min(paceBurst, g.credit+max(g.pace, g.fleetPace())*(g.now-g.creditAt))
-	g.creditAt = g.now
-	return g.credit >= 1 && !r.spare || g.credit >= paceBurst || g.reach >= g.listed
-}
-
-// step moves the pace by one answer: down a little for a slow one, up by less for another, so that it rests
-// where paceLate of all are slow: a brake that waits for queues comes too late, for backends driven to their
-// limit stay slow (issue 11). It guards against any slowness that all share and hurts where work itself is
-// slow, down to one attempt out at a backend, over all gateways: with fewer there is no queue.
-func (g *Gateway) step(slow bool) {
-	factor := 1 + paceGain*paceLate/(1-paceLate)
-	if slow {
-		factor = 1 - paceGain
-	}
-	g.pace = min(factor*max(g.pace, g.fleetPace()), paceFree*(g.sentRate+1))
-}
-
-// fleetPace, the first and least, is that of one attempt out at each backend over all gateways.
-func (g *Gateway) fleetPace() float64 {
-	return float64(max(1, g.listed)) / float64(g.s.Balancers) / g.lat
-}
