--- /dev/null
+++ b/internal/odds/odds.go
@@ -0,0 +1,38 @@
+// Package odds keeps how often requests turned out to be inside their quota, of those that the shared counter was asked
+// about, so that others can be decided without asking. It does no I/O and reads no clock.
+//
+// Among 80 ingresses each meets a member about once a minute, and the counter takes half of the calls: most requests are
+// first meetings that no call decides. Let in, a sixth of all that was sent on was beyond quotas. What an ingress can tell of
+// such a request is whether its client marks it as a repeat: most that are refused for their quota come again, and by then
+// four of five are beyond it. First tries and repeats are kept apart, over all members whose requests cost beyond the quota,
+// for one ingress asks about each kind only once in a second or two: kept for each member, it would never learn anything.
+package odds
+
+const (
+	keep  = 0.95 // weight of what was known, with each further answer: about the last twenty count
+	prior = 1.0  // answers that count as inside, before any came
+)
+
+// Odds are those of one ingress. The zero value knows nothing: all is inside.
+type Odds struct{ first, repeat mean }
+
+type mean struct{ inside, asked float64 }
+
+func (o *Odds) of(repeat bool) *mean {
+	if repeat {
+		return &o.repeat
+	}
+	return &o.first
+}
+
+// Told tells what came of a request that was asked about: the chance, 0 to 1, of it being inside its quota.
+func (o *Odds) Told(repeat bool, inside float64) {
+	m := o.of(repeat)
+	m.inside, m.asked = keep*m.inside+inside, keep*m.asked+1
+}
+
+// Inside is the chance that a request that is not asked about is inside its quota.
+func (o *Odds) Inside(repeat bool) float64 {
+	m := o.of(repeat)
+	return (m.inside + prior) / (m.asked + prior)
+}
--- a/passhub/admission.go
+++ b/passhub/admission.go
@@ -34,9 +34,8 @@
 	g.admit(r)
 }
 
-// age is how long ago the client first asked, told by the time a repeat has left, for clients leave after a
-// part of what remains of the deadline. It guards against work that can serve nobody in time any more, in an
-// overload a quarter of all served (trebic-later). It errs where the patience of clients varies.
+// age is how long ago the client first asked, told by the time a repeat has left: a part of what remains of
+// the deadline. It guards against work in vain, in an overload a quarter of all served (trebic-later).
 func (g *Gateway) age(e Request, class *Class) Seconds {
 	g.patience[class.Name] = max(g.patience[class.Name], e.Left)
 	if !e.Repeat {
@@ -71,8 +70,8 @@
 			return c.open < limit
 		}
 		if c.plan.Rate <= 0 && !c.thin {
-			// Exception: limits of two or three do not divide. Sent on is what has chance enough of being
-			// inside, with the others' attempts by the totals or, before these tell of a burst, the own rate.
+			// Exception: limits of two or three do not divide. Sent on is what is inside by chance, with the
+			// others' attempts by the totals or, before these tell of a burst, the own rate.
 			rest := min(c.r, quietShare*c.quota/c.doors) * (c.doors - 1)
 			if g.believed(c) {
 				rest = c.R - c.r + (c.doors-c.k)*quietShare*c.quota/c.doors
@@ -86,6 +85,9 @@
 	if c.thin && (g.believed(c) || g.silent > 0 && c.ratio > 0) && g.rng.Float64() >= c.ratio {
 		return false // a silent counter freezes the ratio
 	}
+	if c.thin && g.wide(c) && !g.believed(c) && g.odds.Inside(r.Repeat) < worth {
+		return false
+	}
 	g.fill(c)
 	if c.level < c.units(r) {
 		return false
--- a/passhub/attempts.go
+++ b/passhub/attempts.go
@@ -81,8 +81,7 @@
 	g.do(Send{r.ID, b.ID, timeout, !r.inside})
 }
 
-// again decides what follows an attempt that was not served: another attempt, or the answer. What may have
-// run is sent again only where that is harmless, and while few are.
+// again decides what follows an attempt that was not served. What may have run is sent again if harmless.
 func (g *Gateway) again(r *request, proven bool) {
 	late := g.now > r.aimAt && r.class.LateWorth == 0 || r.dueAt-g.now <= 2*g.s.AnswerSlack
 	if (r.class.Effect == Safe || !r.mayHaveRun()) && !late && len(r.attempts) < g.s.MaxAttempts {
--- a/passhub/gateway.go
+++ b/passhub/gateway.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"mulleinrouter/internal/odds"
 	"mulleinrouter/internal/retry"
 )
 
@@ -32,6 +33,7 @@
 	chanceCuts           = 0.1         // s between cuts: a stall leaves many unanswered, and is one sign
 	yieldPower           = 4.0         // of the chance: calls that decide nothing give way so much sooner
 	wideBursts           = 2.0         // bursts that a request at each gateway may be while unwatched
+	crowded              = 0.6         // chance below which no second call is made for a request
 	chanceLeast          = 0.02        // or no answer would ever raise it again
 
 	// Bounded concurrency: what a backend may hold from this gateway, learned from its answers.
@@ -85,6 +87,7 @@
 	retries  retry.Budget
 	sentRate float64 // sends a second
 
+	odds    odds.Odds
 	silent  int     // counter calls in a row without an answer
 	muted   Seconds // the counter is left alone until then
 	chance  float64 // of a call for a request of a thin customer
--- a/passhub/quotas.go
+++ b/passhub/quotas.go
@@ -85,8 +85,7 @@
 // replan puts a customer on other terms. Stores keep what they hold, up to the new most, and a slice its part
 // of the quota: no change costs what was held, and none, often as it comes, gives a second burst. Gateways
 // hear at different times, and totals of one name are for one quota: k of the old name is put beyond all
-// gateways, which freezes slices there, and those here stay until as many report as before. So meanwhile all
-// slices never sum to more than the larger quota.
+// gateways, which freezes slices there, and those here stay until as many report: never more than the larger.
 func (g *Gateway) replan(c *customer, t *Terms) {
 	if c.tag == t.Tag {
 		return
@@ -118,16 +117,15 @@
 // topUp brings what this gateway's own part of the ceiling still lets through up to now.
 func (g *Gateway) topUp(c *customer) {
 	if c.plan.CeilingRate > 0 {
-		c.ceiling = g.split(c).Own(c.ceiling, g.now-c.ceilFill)
+		c.ceiling = c.plan.split(c.doors, g.s.MayCount).Own(c.ceiling, g.now-c.ceilFill)
 	}
 	c.ceilFill = g.now
 }
 
-// common asks the counter for a request that is inside the quota and more than this gateway's own part of the
-// ceiling has left, but not more than what is left in common.
+// common asks the counter for a request inside the quota that is more than this gateway's own part allows.
 func (g *Gateway) common(r *request) bool {
 	c := r.c
-	span, room, keep, ok := g.split(c).Common(g.now)
+	span, room, keep, ok := c.plan.split(c.doors, g.s.MayCount).Common(g.now)
 	if g.topUp(c); !ok || !r.inside || c.ceiling >= r.Units || g.now < max(g.muted, c.holdTill) {
 		return false
 	}
@@ -136,12 +134,6 @@
 	return true
 }
 
-func (g *Gateway) split(c *customer) ceiling.Split {
-	p := c.plan
-	return ceiling.Split{Rate: p.CeilingRate, Depth: p.CeilingDepth, Slack: p.CeilingSlack,
-		Doors: c.doors, Counter: g.s.MayCount}
-}
-
 // units is what a request counts against its quota.
 func (c *customer) units(r *request) float64 {
 	if c.plan.Rate <= 0 {
@@ -200,8 +192,7 @@
 	g.count(c, c.cycle, field+min(most, math.Floor(c.r/unit+g.rng.Float64())))
 }
 
-// pack tells how a total of seven digits holds k, in as many as the gateways need, and below it R, in units
-// rounded by chance, so that hundreds of small ones add up right.
+// pack tells how a total of seven digits holds k and, below it, R in units that are rounded by chance.
 func (c *customer) pack() (field, unit float64) {
 	field = math.Pow(10, 6-math.Floor(math.Log10(c.doors)))
 	return field, packSpan * c.quota / field
@@ -270,15 +261,14 @@
 // callChance is how likely a request of a thin customer asks the counter. What is added is divided by it,
 // so it must not weigh much in a cycle: large quotas need few calls, small ones all. When the counter cannot
 // take them all, some customers are not watched, the same ones at all gateways, for half a total is noise;
-// first those whose answer decides nothing, for they are sent on beyond the quota, too. But where one request
-// for each gateway is more than the burst, not to watch is worse: then all are sampled more thinly.
+// first those whose answer decides nothing. But all wide ones are watched, and sampled more thinly.
 func (g *Gateway) callChance(c *customer, r *request) float64 {
 	least := min(1, c.units(r)/(weightMost*g.rate(c)*c.period))
 	if g.unheard < muteAfter { // else who tries it?
 		watched, decides := g.chance, c.plan.ExcessWorth <= c.plan.BeyondCosts
 		if !decides {
 			watched = math.Pow(g.chance, yieldPower)
-		} else if least > g.chance && c.doors*max(1, g.s.MaxUnits) > wideBursts*c.plan.Burst {
+		} else if least > g.chance && g.wide(c) {
 			return g.chance
 		}
 		if float64(c.hash)/math.MaxUint32*least > watched {
@@ -288,6 +278,11 @@
 	return least + (1-least)*min(1, (g.now-c.totalAt)/c.validFor)*g.chance
 }
 
+// wide tells whether a request at each gateway is more than the burst: unwatched, all of them let one in.
+func (g *Gateway) wide(c *customer) bool {
+	return c.plan.BeyondCosts > 0 && c.doors*max(1, g.s.MaxUnits) > wideBursts*c.plan.Burst
+}
+
 // rate is what a full quota lets through in a second; a quarter of an open limit may be out on average.
 func (g *Gateway) rate(c *customer) float64 {
 	if c.plan.Rate <= 0 {
@@ -305,8 +300,7 @@
 // told decides a request of a thin customer. Exception: where a cycle's even share is below a few requests,
 // r is 0 or noise. Then each counted request is a report: it adds itself, and the answer of that add is the
 // read. The step is the same: with R under the quota x covers r, above it x is Q*r/R, and chance admits that
-// part, so that what is expected to be sent on stays pinned to Q. Up to the burst's room all is inside;
-// whether it was used before is asked of the last cycle, where that matters and is not known.
+// part, so that what is sent on stays pinned to Q. Up to the burst's room, by the last cycle, all is inside.
 func (g *Gateway) told(c *customer, a query, e Counted) {
 	r, Q, T := a.r, g.rate(c), c.period
 	if r.answered {
@@ -333,8 +327,11 @@
 	spent := min(T, g.now-float64(now)*T-c.phase)
 	if !known {
 		if before = 0; c.sum > Q*spent && c.sum > a.add+1e-6 {
-			g.ask(r, a.cycle-1, 0)
-			return
+			if g.chance >= crowded || !g.wide(c) {
+				g.ask(r, a.cycle-1, 0)
+				return
+			}
+			before = min(c.sum/max(spent, T/4), 2*Q) * T // a second call would cost another its only one
 		}
 	}
 	R := (before + c.sum) / (T + spent)
@@ -352,12 +349,14 @@
 	default:
 		c.ratio = min(1, aimShare*Q*spent/c.sum)
 	}
-	// Between two words the ratio may let in no more than the slice it stands for, and its part of the burst:
-	// demand that rises meanwhile went beyond quotas (fleet day: three times the quotas for six seconds).
+	// Between two words the ratio lets in no more than its slice and burst (fleet day: 3 quotas for 6 s).
 	quiet := quietShare * Q / c.doors // as r is noise
 	own := (c.r*T+c.demand)/(T+max(0, g.now-c.since)) + quiet
 	c.share = min(1, own/(R+quiet*c.doors))
 	g.fill(c)
+	if c.plan.BeyondCosts > 0 {
+		g.odds.Told(r.Repeat, c.ratio)
+	}
 	if r.inside = g.rng.Float64() < c.ratio; r.inside {
 		c.level = max(0, c.level-c.units(r))
 	}
--- a/passhub/scale_test.go
+++ b/passhub/scale_test.go
@@ -387,6 +387,45 @@
 	}
 }
 
+// What no call decides is decided by what came of those asked about: first tries and repeats, each by their kind.
+func TestUnaskedRepeatsGoByTheAskedOnes(t *testing.T) { // zone+vast, a crowded counter: a sixth sent beyond quotas
+	s := testSettings()
+	s.Balancers, s.MaxUnits = 80, 4
+	s.Plans = []Plan{{Name: "costs", Rate: 3, Burst: 15, Price: 1, BeyondCosts: 1}}
+	g, id := New(s, 1), uint64(0)
+	g.Handle(0, Start{})
+	g.Handle(0, Backends{Complete: true, List: []Backend{up("x", 0), up("y", 0), up("z", 0)}})
+	submit := func(customer string, repeat bool, reply Counted) (sent int) {
+		id++
+		r := ask(id, "safe", "costs")
+		r.Customer, r.Doors, r.Units, r.Repeat = customer, 60, 2, repeat
+		out := g.Handle(float64(id)/10, r)
+		for n := 0; n < len(out); n++ {
+			switch a := out[n].(type) {
+			case Count:
+				reply.Name = a.Name
+				out = append(out, g.Handle(float64(id)/10, reply)...)
+			case Send:
+				sent++
+				g.Handle(float64(id)/10, AttemptEnded{ID: a.ID, Backend: a.Backend, Outcome: Done, Took: 0.01, Settled: true})
+			}
+		}
+		return sent
+	}
+	for i := range 20 {
+		submit(fmt.Sprint("calm", i), false, Counted{Outcome: Done, Total: 2})
+		submit(fmt.Sprint("heavy", i), true, Counted{Outcome: Done, Total: 200})
+	}
+	first, again := 0, 0
+	for i := range 40 {
+		first += submit(fmt.Sprint("met", i), false, Counted{Outcome: Refused})
+		again += submit(fmt.Sprint("new", i), true, Counted{Outcome: Refused})
+	}
+	if first < 38 || again > 2 {
+		t.Errorf("of 40 each that were not asked about, %d first tries and %d repeats sent on", first, again)
+	}
+}
+
 func TestRepeatTooLateToEarnWaitsForNothing(t *testing.T) { // trebic-later: 14% served, but too late
 	s := testSettings()
 	s.Classes[0].LateWorth = 0
--- a/passhub/servers.go
+++ b/passhub/servers.go
@@ -121,7 +121,7 @@
 }
 
 // coldRoom keeps a cold backend to its share of what this gateway sends to a warm one: it bears a multiple.
-// Where that is less than a send while it is cold, none is saved up: the choice by chance keeps the share.
+// Where that is less than a send while it is cold, the choice by chance keeps the share.
 func (g *Gateway) coldRoom(b *backend, share float64) bool {
 	rate := share * g.sentRate / float64(max(1, g.warm))
 	b.tokens = min(1, b.tokens+rate*(g.now-b.filled))
@@ -134,8 +134,7 @@
 	switch e.Outcome {
 	case Done:
 		if !a.late {
-			// A trial that went well costs nothing, or all gateways stay with the few that they know and
-			// drown them (join+vast, six in ten replaced: three of four requests waited for a trial).
+			// A trial that went well costs nothing, or all stay with the few they know (join+vast).
 			if g.trials += trialShare; !b.good {
 				g.trials++
 			}
@@ -162,8 +161,7 @@
 			b.lat = max(b.lat, b.lat+latAlpha*(e.Took-b.lat))
 		}
 		if !a.late {
-			// A sound one fails one request in a thousand: one error is evidence enough for all the gateways
-			// that pay it, where others stand by.
+			// A sound one fails one request in a thousand: one error is enough, where others stand by.
 			g.failed(b, e.Outcome == Refused || e.Outcome == Failed && g.reach < g.listed)
 		}
 	}
@@ -179,8 +177,7 @@
 	}
 }
 
-// adapt moves a backend's limit: up by one for each limit's worth of good answers while it is used,
-// down on a slow one, once in the time an answer takes.
+// adapt moves a backend's limit: up by one for its worth of good answers, down on a slow one, once at a time.
 func (g *Gateway) adapt(b *backend, slow bool) {
 	if !slow {
 		if float64(b.out+1) >= b.limit*limitUsed {
--- a/passhub/terms.go
+++ b/passhub/terms.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"hash/fnv"
 	"strconv"
+
+	"mulleinrouter/internal/ceiling"
 )
 
 // Tag is one word for a plan's figures, the same at all gateways where they are the same. The plan's name is
@@ -14,3 +16,8 @@
 	fmt.Fprint(h, p)
 	return strconv.FormatUint(uint64(h.Sum32()), 36)
 }
+
+// split is the plan's ceiling among the gateways of a customer.
+func (p *Plan) split(doors float64, counter bool) ceiling.Split {
+	return ceiling.Split{Rate: p.CeilingRate, Depth: p.CeilingDepth, Slack: p.CeilingSlack, Doors: doors, Counter: counter}
+}
