Read contradictory lists and impossible numbers of ingresses safely

Need: a fleet of many ingresses meets each odd list everywhere at once. A server with a size without end would have been the only one used, one that started far ahead cold for ever; a number of ingresses that cannot be true silenced discovery for as long. Change: sizes and starts are bounded; settings with Balancers or Me out of range are refused by name; a first window is 30 s at most.

--- a/internal/backoff/backoff.go
+++ b/internal/backoff/backoff.go
@@ -11,9 +11,10 @@
 import "mulleinrouter/passhub"
 
 const (
-	least = 0.2 // s: window of a small fleet
-	each  = 0.1 // s for each ingress: ten calls a second over the fleet
-	most  = 4.0 // times the first window: later, news would be too old to be of use
+	least   = 0.2  // s: window of a small fleet
+	each    = 0.1  // s for each ingress: ten calls a second over the fleet
+	longest = 30.0 // s of the first window: a number of ingresses that cannot be true must not silence one for hours
+	most    = 4.0  // times the first window: later, news would be too old to be of use
 )
 
 // Window is that of one ingress for one service. It begins with New.
@@ -21,7 +22,7 @@
 
 // New returns the window of one ingress among fleet.
 func New(fleet int) *Window {
-	first := max(least, float64(fleet)*each)
+	first := min(longest, max(least, float64(fleet)*each))
 	return &Window{first: first, now: first}
 }
 
--- a/internal/backoff/backoff_test.go
+++ b/internal/backoff/backoff_test.go
@@ -97,6 +97,9 @@
 			t.Errorf("wait %d is %v, want %v s", i, got[i], want)
 		}
 	}
+	if wait := New(1 << 40).Failed(0.999); wait > longest {
+		t.Errorf("with a number that cannot be true: %v", wait)
+	}
 	if wait := New(-1).Failed(0.999); wait <= 0 || wait > least {
 		t.Errorf("without a told number: %v", wait)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -10,6 +10,8 @@
 	"mulleinrouter/passhub"
 )
 
+const mostIngresses = 100_000
+
 // Decode reads the settings object that an instance is given at its start, in the simulator's first
 // message or in a real ingress's configuration. Keys it does not know are ignored.
 func Decode(raw []byte) (passhub.Settings, error) {
@@ -46,6 +48,13 @@
 	if err := jsontext.Decode(raw, &w); err != nil {
 		return passhub.Settings{}, fmt.Errorf("settings: %w", err)
 	}
+	// A number that cannot be true would silence this ingress, or have all take the same place among them.
+	if w.Balancers < 0 || w.Balancers > mostIngresses {
+		return passhub.Settings{}, fmt.Errorf("settings: Balancers: %d is not from 0 to %d", w.Balancers, mostIngresses)
+	}
+	if w.Me < 0 || w.Balancers > 0 && w.Me >= w.Balancers {
+		return passhub.Settings{}, fmt.Errorf("settings: Me: %d is not below Balancers, %d", w.Me, w.Balancers)
+	}
 	s := passhub.Settings{
 		Balancers: w.Balancers, Me: w.Me, Zone: w.Zone,
 		DrainGrace: w.Invariants.DrainGrace, AnswerSlack: w.Invariants.AnswerSlack,
--- a/passhub/scale_test.go
+++ b/passhub/scale_test.go
@@ -426,6 +426,35 @@
 	}
 }
 
+// Entries that contradict themselves: the sound server beside them is used on, and each request gets its answer.
+func TestOddBackendsDoNotKeepOthersFromUse(t *testing.T) {
+	for name, odd := range map[string]Backend{
+		"no id": {Serving: true}, "no end of a size": {ID: "o", Serving: true, Size: 1e300}, "a size below nothing": {ID: "o", Serving: true, Size: -4},
+		"started tomorrow": {ID: "o", Serving: true, Booted: 1e6}, "left before it was seen": {ID: "o"},
+	} {
+		gateways, list := fleet(80, 3)
+		g, used := gateways[0], map[string]int{}
+		g.Handle(1, Backends{List: []Backend{odd, odd}})
+		for i := range 200 {
+			now, id := 1+float64(i)/5, uint64(i+1)
+			out := g.Handle(now, ask(id, "safe", "free"))
+			if len(of[Send](out))+len(of[Refuse](out)) != 1 {
+				out = run(g, now, now+1, nil)
+			}
+			for _, send := range of[Send](out) {
+				used[send.Backend]++
+				g.Handle(now+0.1, AttemptEnded{ID: send.ID, Backend: send.Backend, Outcome: Done, Settled: true, Took: 0.1})
+			}
+		}
+		if n := used[list[0].ID] + used[list[1].ID] + used[list[2].ID]; n < 5 || n+used[odd.ID] < 195 || used[odd.ID] > 0 && !odd.Serving {
+			t.Errorf("%s: used %v", name, used)
+		}
+		if b := g.backends["o"]; b != nil && odd.Booted > 0 && g.cold(b) < 1 {
+			t.Errorf("%s: cold for ever", name)
+		}
+	}
+}
+
 func TestRepeatTooLateToEarnWaitsForNothing(t *testing.T) { // trebic-later: 14% served, but too late
 	s := testSettings()
 	s.Classes[0].LateWorth = 0
--- a/passhub/servers.go
+++ b/passhub/servers.go
@@ -30,7 +30,7 @@
 		}
 	}
 	for _, row := range e.List {
-		row.Size = cmp.Or(max(0, row.Size), 1) // 0: not told
+		row.Size = min(1e3, cmp.Or(max(0, row.Size), 1)) // 0: not told
 		b := g.backends[row.ID]
 		if b == nil {
 			if g.kinds[row.Kind] == nil {
@@ -46,7 +46,8 @@
 			g.order = append(g.order, b)
 		}
 		if row.Booted > b.Booted {
-			b.coldAt, b.filled, b.tokens, b.limit, b.downTill = row.Booted, g.now, 0, 1, 0
+			b.coldAt = min(row.Booted, g.now+g.s.WarmUp) // a start far ahead would leave it cold for ever
+			b.filled, b.tokens, b.limit, b.downTill = g.now, 0, 1, 0
 		}
 		b.Backend, b.listed = row, true
 	}
@@ -120,8 +121,7 @@
 	return g.s.ColdShare + (1-g.s.ColdShare)*max(0, g.now-b.coldAt)/g.s.WarmUp
 }
 
-// coldRoom keeps a cold backend to its share of what this gateway sends to a warm one: it bears a multiple.
-// Where that is less than a send while it is cold, the choice by chance keeps the share.
+// coldRoom keeps a cold backend to its share of a warm one's; below one send while cold, chance in pick does.
 func (g *Gateway) coldRoom(b *backend, share float64) bool {
 	rate := share * g.sentRate / float64(max(1, g.warm))
 	b.tokens = min(1, b.tokens+rate*(g.now-b.filled))
@@ -129,7 +129,7 @@
 	return b.tokens >= 1 || rate*g.s.WarmUp < 1
 }
 
-// judge learns a backend's time and health from outcomes alone: one that answers probes may lose its answers.
+// judge learns a backend's time and health from outcomes alone.
 func (g *Gateway) judge(b *backend, r *request, a *attempt, e AttemptEnded) {
 	switch e.Outcome {
 	case Done:
