--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -144,6 +144,12 @@
 func (w *Watcher) Run(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(w.Seed, 2))
 	w.again = backoff.New(w.Fleet)
+	if w.listed { // it can serve meanwhile
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(w.again.Begin(rng.Float64()) * float64(time.Second))):
+		}
+	}
 	for ctx.Err() == nil {
 		within, end := w.begin(ctx)
 		err := w.follow(within)
