--- a/passhub/scale_test.go
+++ b/passhub/scale_test.go
@@ -455,6 +455,59 @@
 	}
 }
 
+// Six in ten servers replaced every five seconds for three hours, each request by another customer: what is kept is what was
+// met in the last minute.
+func TestNothingGrowsWhileServersAreReplacedForHours(t *testing.T) {
+	s := testSettings()
+	s.Balancers, s.MaxUnits = 80, 4
+	s.Plans = append(s.Plans, Plan{Name: "plus", Rate: 20, Burst: 40, Price: 1, CeilingRate: 40, CeilingDepth: 80, CeilingSlack: 8})
+	var list []Backend
+	for i := range 60 {
+		list = append(list, up(fmt.Sprint("b", i), 0))
+	}
+	g, id, most := started(t, s, list...), uint64(0), 0
+	for step := range 3 * 3600 {
+		now := float64(step)
+		if step%5 == 0 {
+			news := Backends{}
+			for i := range list {
+				if i%5 < 3 {
+					old := list[i]
+					old.Serving = false
+					list[i] = Backend{ID: fmt.Sprint("b", i, "-", step), Zone: "a", Serving: true, Booted: now}
+					news.List = append(news.List, old, list[i])
+				}
+			}
+			g.Handle(now, news)
+		}
+		out := g.Handle(now, Timer{"tick"})
+		for _, plan := range []string{"rate", "plus"} {
+			id++
+			r := ask(id, "safe", plan)
+			r.Customer, r.Doors, r.Units = fmt.Sprint("c", id), 20, 2
+			out = append(out, g.Handle(now, r)...)
+		}
+		for n := 0; n < len(out); n++ {
+			switch a := out[n].(type) {
+			case Count:
+				out = append(out, g.Handle(now, Counted{Name: a.Name, Outcome: Done, Total: a.Add})...)
+			case Send:
+				end := AttemptEnded{ID: a.ID, Backend: a.Backend, Outcome: Done, Took: 0.1, Settled: true}
+				if id%7 == 0 {
+					end.Outcome, end.Settled = Reset, false
+				}
+				out = append(out, g.Handle(now+0.1, end)...)
+			}
+		}
+		if step > 600 {
+			most = max(most, len(g.backends)+len(g.order), len(g.customers)+len(g.known), len(g.requests)+len(g.open)+len(g.held))
+		}
+	}
+	if most > 2*(60+36*14) || len(g.kinds) > 2 {
+		t.Errorf("%d entries at the most, %d kinds", most, len(g.kinds))
+	}
+}
+
 func TestRepeatTooLateToEarnWaitsForNothing(t *testing.T) { // trebic-later: 14% served, but too late
 	s := testSettings()
 	s.Classes[0].LateWorth = 0
