--- /dev/null
+++ b/internal/discovery/fuzz_test.go
@@ -0,0 +1,52 @@
+package discovery
+
+import (
+	"io"
+	"maps"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+
+	"mulleinrouter/passhub"
+)
+
+// FuzzLists: whatever comes as a list, what is none changes nothing, only active servers are served, and the module goes on
+// deciding on it.
+func FuzzLists(f *testing.F) {
+	for _, s := range []string{
+		`{"rev":41,"all":true,"targets":[{"uid":"s-1","endpoint":"h:1","az":"a","model":"m2","pod_group":3,"state":"active","capacity_hint":1.0,"boot_ms":0}]}`,
+		`{"rev":42,"all":false,"targets":[{"uid":"s-1","endpoint":"h:2","state":"leaving","boot_ms":1500},{"uid":"s-2","state":"left"}]}`,
+		`{"rev":-1,"targets":[{"uid":"","state":"active","capacity_hint":-1e300,"boot_ms":1e300}]}`, `{"rev":1,"all":true,"targets":null}`, `[]`, `{`, ``,
+	} {
+		f.Add([]byte(s), []byte(s))
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f.Fuzz(func(t *testing.T, first, second []byte) {
+		g := passhub.New(passhub.Settings{Balancers: 80, WarmUp: 18, ColdShare: 0.2, MaxAttempts: 4,
+			Classes: []passhub.Class{{Name: "c", Aim: 1, Deadline: 3, Worth: 1, Effect: passhub.Safe}}, Plans: []passhub.Plan{{Name: "p", Price: 1}}}, 1)
+		g.Handle(0, passhub.Start{})
+		w := &Watcher{Directory: &Directory{}, Log: log, Tell: func(b passhub.Backends) { g.Handle(1, b) }}
+		for i, raw := range [][]byte{first, second} {
+			before, rev := maps.Clone(w.Directory.entries), w.rev
+			if err := w.take(raw); err != nil && (!maps.Equal(before, w.Directory.entries) || rev != w.rev) {
+				t.Fatalf("%v, and the list changed", err)
+			}
+			now, said := 2+float64(i), 0
+			for _, a := range g.Handle(now, passhub.Request{ID: uint64(i + 1), Class: "c", Plan: "p", Customer: "c", Left: 3, Units: 1}) {
+				if send, ok := a.(passhub.Send); ok {
+					if _, serving := w.Directory.Lookup(send.Backend); !serving {
+						t.Fatalf("sent to %q, which is not to be served", send.Backend)
+					}
+				}
+			}
+			for ; now < 8 && said == 0; now += 0.05 { // held, it is refused in time
+				for _, a := range g.Handle(now, passhub.Timer{Token: "tick"}) {
+					if _, ok := a.(passhub.Refuse); ok {
+						said++
+					}
+				}
+			}
+		}
+	})
+}
--- a/internal/hclfile/hclfile.go
+++ b/internal/hclfile/hclfile.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/hcl/v2"
 	"github.com/hashicorp/hcl/v2/gohcl"
 	"github.com/hashicorp/hcl/v2/hclsyntax"
+	"github.com/zclconf/go-cty/cty"
 
 	"mulleinrouter/passhub"
 )
@@ -43,12 +44,35 @@
 	if diags.HasErrors() {
 		return nil, first(name, diags)
 	}
+	if diags = endless(parsed.Body.(*hclsyntax.Body)); diags.HasErrors() {
+		return nil, first(name, diags)
+	}
 	if diags = gohcl.DecodeBody(parsed.Body, nil, into); diags.HasErrors() {
 		return nil, first(name, diags)
 	}
 	return &File{Name: name, body: parsed.Body.(*hclsyntax.Body)}, nil
 }
 
+// mostExponent is that of a number in a file, of two: more than any setting means.
+const mostExponent = 1024
+
+// endless finds numbers of more digits than any setting has. Where the library turns one into text it writes all of them: a
+// file of one line kept a start and a reload waiting for ever (found by FuzzHCL).
+func endless(body *hclsyntax.Body) hcl.Diagnostics {
+	return hclsyntax.VisitAll(body, func(node hclsyntax.Node) (diags hcl.Diagnostics) {
+		literal, ok := node.(*hclsyntax.LiteralValueExpr)
+		if !ok || literal.Val.IsNull() || literal.Val.Type() != cty.Number {
+			return nil
+		}
+		if e := literal.Val.AsBigFloat().MantExp(nil); e > mostExponent || e < -mostExponent {
+			at := literal.Range()
+			diags = append(diags, &hcl.Diagnostic{Severity: hcl.DiagError, Summary: "Unsuitable number",
+				Detail: "It has more digits than any setting.", Subject: &at})
+		}
+		return diags
+	})
+}
+
 // first makes one error of what the library found. Its texts may run over several lines; ours are one line each.
 func first(name string, diags hcl.Diagnostics) error {
 	var errs []*hcl.Diagnostic
