--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -84,6 +84,7 @@
 
 	mu        sync.Mutex
 	desk      *attempt.Desk
+	counts    counts
 	catalogue Catalogue   // nil: none, plans are those of the settings
 	due       *time.Timer // for what the catalogue has next
 }
@@ -104,6 +105,11 @@
 
 // Counted tells what came of a counter call.
 func (e *Engine) Counted(name string, outcome passhub.Outcome, total float64) {
+	e.mu.Lock()
+	if e.counts.calls++; outcome != passhub.Done {
+		e.counts.unanswered++
+	}
+	e.mu.Unlock()
 	e.handle(passhub.Counted{Name: name, Outcome: outcome, Total: total})
 }
 
@@ -196,9 +202,38 @@
 // do has something happen at the desk, under the mutex, and carries out what comes of it.
 func (e *Engine) do(happen func(now passhub.Seconds) []attempt.Effect) {
 	e.mu.Lock()
-	later := e.decide(happen(e.clock.Now()))
+	now := e.clock.Now() // under the mutex: the module's time never goes back
+	later := e.decide(happen(now))
+	due, c := e.counts.turn(now)
 	e.mu.Unlock()
 	e.carryOut(later)
+	if due && e.Log != nil {
+		e.Log.WithFields(logrus.Fields{"code": "engine-counts", "sent": c.decided[Send], "refused": c.decided[Refuse], "failed": c.decided[Fail],
+			"gone": c.decided[Gone], "calls": c.calls, "unanswered": c.unanswered}).Info("decided lately")
+	}
+}
+
+// countsEvery is how often an ingress tells what it decided, in seconds: one alone tells little, so that lines must be few
+// enough to add up over a fleet.
+const countsEvery = 10.0
+
+// counts are what was decided since a time, and the calls of the counter that were answered or not.
+type counts struct {
+	since             passhub.Seconds // 0: not begun
+	decided           [4]int          // by Kind
+	calls, unanswered int
+}
+
+// turn returns what was counted, and begins anew, when it is time to tell it.
+func (c *counts) turn(now passhub.Seconds) (due bool, told counts) {
+	if c.since == 0 {
+		c.since = now
+	}
+	if now-c.since < countsEvery {
+		return false, counts{}
+	}
+	told, *c = *c, counts{since: now}
+	return told.decided != [4]int{} || told.calls > 0, told
 }
 
 // decide tells decisions to those who wait for them, the mutex held: they must come in the order in which they were
@@ -211,6 +246,7 @@
 			continue
 		}
 		d := tell.Decision
+		e.counts.decided[d.Kind]++
 		told := Decision{Kind: d.Kind, Backend: d.Backend, Beyond: d.Beyond, RetryAfter: d.RetryAfter}
 		if d.Kind == Send {
 			told.Until = e.clock.Time(d.Until)
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -183,3 +183,18 @@
 		other.Ended(passhub.Done)
 	})
 }
+
+func TestCountsAreToldOnceInTenSeconds(t *testing.T) {
+	var c counts
+	for _, step := range []struct {
+		now  float64
+		sent int
+		due  bool
+		want int
+	}{{100, 2, false, 0}, {109, 1, false, 0}, {110, 0, true, 3}, {111, 4, false, 0}, {125, 0, true, 4}, {140, 0, false, 0}} {
+		c.decided[Send] += step.sent
+		if due, told := c.turn(step.now); due != step.due || told.decided[Send] != step.want {
+			t.Errorf("at %v: %v, %d sent", step.now, due, told.decided[Send])
+		}
+	}
+}
