--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -19,6 +19,7 @@
 type Config struct {
 	Name, Listen, Discovery string
 	Counter                 string // empty where there is none
+	Mgmt                    string // the management address, for operators alone; empty: none
 	Seed                    uint64
 	Limits                  Limits
 	Known                   *discovery.List // nil: none
@@ -76,6 +77,7 @@
 		Listen    string          `json:"listen"`
 		Discovery string          `json:"discovery"`
 		Counter   string          `json:"counter"`
+		Mgmt      string          `json:"mgmt"`
 		Seed      string          `json:"seed"`
 		Limits    Limits          `json:"limits"`
 		Known     *discovery.List `json:"known"`
@@ -85,11 +87,11 @@
 		return nil, fmt.Errorf("not a configuration: %w", err)
 	}
 	c := &Config{
-		Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Counter: file.Counter,
+		Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Counter: file.Counter, Mgmt: file.Mgmt,
 		Limits: file.Limits, Known: file.Known,
 	}
 	for name, value := range map[string]*string{
-		"NODE_NAME": &c.Name, "NODE_LISTEN": &c.Listen, "NODE_DISCOVERY": &c.Discovery,
+		"NODE_NAME": &c.Name, "NODE_LISTEN": &c.Listen, "NODE_DISCOVERY": &c.Discovery, "NODE_MGMT": &c.Mgmt,
 	} {
 		if v := getenv(name); v != "" && (*value == "" || !fileFirst) {
 			*value = v
@@ -98,7 +100,7 @@
 	for _, a := range []struct {
 		name, addr string
 		optional   bool
-	}{{"listen", c.Listen, false}, {"discovery", c.Discovery, false}, {"counter", c.Counter, true}} {
+	}{{"listen", c.Listen, false}, {"discovery", c.Discovery, false}, {"counter", c.Counter, true}, {"mgmt", c.Mgmt, true}} {
 		if a.addr == "" && a.optional {
 			continue
 		}
--- a/internal/config/hcl.go
+++ b/internal/config/hcl.go
@@ -18,6 +18,7 @@
 type ours struct {
 	Name      string         `hcl:"name,optional"`
 	Listen    string         `hcl:"listen"`
+	Mgmt      string         `hcl:"mgmt,optional"`
 	Discovery string         `hcl:"discovery,optional"`
 	Log       string         `hcl:"log_format,optional"`
 	Limits    *limitsBlock   `hcl:"limits,block"`
@@ -132,6 +133,12 @@
 	if err := address(f, "listen", w.Listen); err != nil {
 		return err
 	}
+	if w.Mgmt != "" {
+		if err := address(f, "mgmt", w.Mgmt); err != nil {
+			return err
+		}
+		c.Mgmt = w.Mgmt
+	}
 	if w.Log != "" && w.Log != "text" && w.Log != "json" {
 		return f.At("log_format", fmt.Sprintf("%q is neither \"text\" nor \"json\"", w.Log))
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -55,15 +55,14 @@
 	mostUnits float64
 	most      int // connections at once
 
-	mu       sync.Mutex
-	conns    map[*conn]struct{}
-	ids      map[string]struct{} // of the requests in hand
-	room     sync.Cond           // a connection has ended, or become idle while one waits for room
-	waiting  int                 // accepted connections that wait for room
-	draining bool                // idle connections are closed, others after their answer
-	halt     context.Context
-	halted   context.CancelFunc
-	leaving  bool // readiness: a SIGTERM has come
+	mu      sync.Mutex
+	conns   map[*conn]struct{}
+	ids     map[string]struct{} // of the requests in hand
+	room    sync.Cond           // a connection has ended, or become idle while one waits for room
+	waiting int                 // accepted connections that wait for room
+	halt    context.Context
+	halted  context.CancelFunc
+	life    passhub.Lifecycle // readiness, and whether connections stay open after an answer
 }
 
 // New returns a server for what the settings name, with at most so many connections at once.
@@ -168,7 +167,7 @@
 	}
 	s.waiting--
 	s.conns[c] = struct{}{}
-	if s.draining {
+	if !s.life.Accepts() {
 		c.end("client-drain") // accepted as the hand-over ended: the client asks elsewhere
 	}
 }
@@ -233,7 +232,7 @@
 	s := c.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if st == idle && s.draining && c.code == "" {
+	if st == idle && !s.life.KeepOpen() && c.code == "" {
 		c.code = "client-drain"
 	}
 	if c.code != "" {
@@ -264,12 +263,13 @@
 
 // last tells whether the connection is to end with the next answer.
 func (c *conn) last() bool {
-	c.server.mu.Lock()
-	defer c.server.mu.Unlock()
-	if s := c.server; c.code == "" && len(s.conns) > s.most-s.most/crowdedPart {
+	s := c.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.code == "" && len(s.conns) > s.most-s.most/crowdedPart {
 		c.code = "client-room" // told so, the client asks elsewhere; closed while idle, its next request might cross
 	}
-	return c.code != "" || c.server.draining
+	return c.code != "" || !s.life.KeepOpen()
 }
 
 // run serves one connection and leaves one line in the log when it ends.
@@ -457,13 +457,14 @@
 	s.mu.Unlock()
 }
 
-// ready answers the front: 200 from the first moment, 503 once it is to stop coming.
+// ready answers the front: 200 while the process serves and wants clients, 503 before, while it is a lame duck and
+// once it stops.
 func (c *conn) ready(r *http1.Request) (code string, err error) {
 	c.watch <- nil
-	status := 200
+	status := 503
 	c.server.mu.Lock()
-	if c.server.leaving {
-		status = 503
+	if c.server.life.Ready() {
+		status = 200
 	}
 	c.server.mu.Unlock()
 	return c.lastOf(r, c.answer(status, 0, nil, r.Close))
@@ -548,24 +549,51 @@
 	}
 }
 
-// Leave makes the readiness page say that clients should go elsewhere.
-func (s *Server) Leave() {
+// Started says that it serves: the readiness page says yes from now on.
+func (s *Server) Started() { s.move(passhub.Started) }
+
+// Leave makes the readiness page say that clients should go elsewhere, for good: a SIGTERM has come. Idle
+// connections are closed at once, the others after their next answer.
+func (s *Server) Leave() { s.move(passhub.Terminate) }
+
+// LameDuck drains without stopping: the readiness page says no, idle connections are closed at once and the others
+// after their next answer; new connections are still served, each for one request. It tells whether the call was
+// taken.
+func (s *Server) LameDuck() bool { return s.move(passhub.Lame) }
+
+// Rejoin ends a drain that LameDuck began: the readiness page says yes again, and connections stay open. It tells
+// whether the call was taken: not once it stops.
+func (s *Server) Rejoin() bool { return s.move(passhub.Rejoin) }
+
+// Phase tells where the process is in its life.
+func (s *Server) Phase() passhub.Phase {
 	s.mu.Lock()
-	s.leaving = true
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	return s.life.Phase()
 }
 
-// Drain closes the idle connections and waits for the others to end. At the end of patience it stops
-// the attempts that are out, so that each request still gets its answer, and waits a little longer.
-func (s *Server) Drain(patience, rest time.Duration) {
+func (s *Server) move(e passhub.LifeEvent) bool {
 	s.mu.Lock()
-	s.draining = true
-	for c := range s.conns {
-		if c.state == idle && c.code == "" {
-			c.end("client-drain")
+	defer s.mu.Unlock()
+	before := s.life.Phase()
+	taken := s.life.Handle(e)
+	if !s.life.KeepOpen() {
+		for c := range s.conns {
+			if c.state == idle && c.code == "" {
+				c.end("client-drain")
+			}
 		}
 	}
-	s.mu.Unlock()
+	if after := s.life.Phase(); after != before {
+		s.log.WithFields(logrus.Fields{"code": "process-phase", "phase": after.String(), "was": before.String()}).Info("the process moved on")
+	}
+	return taken
+}
+
+// Drain closes the idle connections and waits for the others to end. At the end of patience it stops
+// the attempts that are out, so that each request still gets its answer, and waits a little longer.
+func (s *Server) Drain(patience, rest time.Duration) {
+	s.move(passhub.Close)
 	if !s.wait(patience) {
 		s.halted()
 		s.wait(rest)
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -36,6 +36,7 @@
 		pool := upstream.New(func(string) (string, bool) { return p.Addr("server"), true },
 			upstream.Limits{Connections: 2, ConnectTimeout: time.Minute, Keepalive: time.Minute}, log)
 		s := New(&settings, e, pool, 2, log)
+		s.Started()
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
@@ -65,13 +66,21 @@
 			s.Leave()
 			return ""
 		}
+		p.Hooks["lameduck"] = func(string) string {
+			s.LameDuck()
+			return ""
+		}
+		p.Hooks["rejoin"] = func(string) string {
+			s.Rejoin()
+			return ""
+		}
 		p.Hooks["drain"] = func(string) string {
 			s.Drain(time.Minute, time.Minute)
 			return ""
 		}
 		p.Hooks["drain-begins"] = func(string) string {
 			go s.Drain(time.Minute, time.Minute)
-			return until(func() bool { return s.draining })("")
+			return until(func() bool { return s.life.Phase() == passhub.Closing })("")
 		}
 		p.Hooks["sweep-later"] = func(later string) string {
 			d, _ := time.ParseDuration(later)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,7 +22,9 @@
 	"mulleinrouter/internal/counterd"
 	"mulleinrouter/internal/discovery"
 	"mulleinrouter/internal/engine"
+	"mulleinrouter/internal/hotrestart"
 	"mulleinrouter/internal/ingress"
+	"mulleinrouter/internal/mgmt"
 	"mulleinrouter/internal/plans"
 	"mulleinrouter/internal/upstream"
 	"mulleinrouter/internal/usage/export"
@@ -49,6 +51,7 @@
 	config   *config.Config
 	log      *logrus.Logger
 	listener net.Listener
+	mgmt     net.Listener // nil: none
 	engine   *engine.Engine
 	count    *counter.Client // nil: none
 	server   *ingress.Server
@@ -93,8 +96,8 @@
 
 func (n *Node) start(ctx context.Context) (err error) {
 	c := n.config
-	if n.listener, err = net.Listen("tcp", c.Listen); err != nil {
-		return fmt.Errorf("listen: %w", err)
+	if n.listener, err = hotrestart.Listen(c.Listen); err != nil {
+		return err // a second process beside this one listens there too: only another program can be in the way
 	}
 	n.closed = append(n.closed, func() { n.listener.Close() })
 	if c.Embedded != "" {
@@ -137,11 +140,51 @@
 		n.spawn(func() { n.watcher.Run(ctx) })
 	}
 	n.spawn(func() { pool.Run(ctx) })
+	if c.Mgmt != "" {
+		if err := n.manage(); err != nil {
+			return err
+		}
+	}
 	go n.server.Serve(n.listener)
-	n.log.WithFields(logrus.Fields{"code": "process-started", "name": c.Name, "listen": n.Addr()}).Info("serving")
+	n.server.Started()
+	n.log.WithFields(logrus.Fields{"code": "process-started", "name": c.Name, "listen": n.Addr(), "mgmt": c.Mgmt}).Info("serving")
+	return nil
+}
+
+// manage serves the management address.
+func (n *Node) manage() error {
+	l, err := net.Listen("tcp4", n.config.Mgmt)
+	if err != nil {
+		return fmt.Errorf("mgmt: %w", err)
+	}
+	n.mgmt = l
+	m := &mgmt.Server{Handler: n.call, Log: n.log}
+	go m.Serve(l)
+	n.closed = append(n.closed, func() { l.Close() })
 	return nil
 }
 
+// call answers one call at the management address.
+func (n *Node) call(word, _ string) (bool, []string) {
+	switch word {
+	case "PING":
+		return n.server.Phase().Alive(), nil
+	case "LAMEDUCK":
+		return n.server.LameDuck(), nil
+	case "REJOIN":
+		return n.server.Rejoin(), nil
+	}
+	return false, nil
+}
+
+// MgmtAddr is the management address; empty: there is none.
+func (n *Node) MgmtAddr() string {
+	if n.mgmt == nil {
+		return ""
+	}
+	return n.mgmt.Addr().String()
+}
+
 // Addr is the address that clients connect to.
 func (n *Node) Addr() string { return n.listener.Addr().String() }
 
@@ -288,6 +331,11 @@
 // answers, within the patience that a planned restart leaves.
 func (n *Node) Drain() {
 	n.server.Leave()
+	// A newer process may listen beside this one: new connections go to it from now on, and what is queued here
+	// already is taken before the listener closes, which would reset it.
+	if err := hotrestart.Steer(n.listener); err != nil {
+		n.log.WithField("code", "process-not-steered").WithError(err).Warn("new connections still come here until the listener closes")
+	}
 	time.Sleep(handOver) // the front still sends
 	n.listener.Close()
 	n.server.Drain(patience, rest)
