--- a/internal/backoff/backoff.go
+++ b/internal/backoff/backoff.go
@@ -26,10 +26,6 @@
 	return &Window{first: first, now: first}
 }
 
-// Begin tells how long to wait before the first call, where it can: after a release most of a fleet starts at once. Half a
-// window is enough for all of it, and whoever is turned away waits for a whole one.
-func (w *Window) Begin(chance float64) passhub.Seconds { return chance * w.first / 2 }
-
 // Failed tells how long to wait after a call that failed, or a break. Chance is even in [0, 1), from the ingress's seed.
 func (w *Window) Failed(chance float64) passhub.Seconds {
 	wait := chance * w.now
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -103,6 +103,7 @@
 	rev     int64
 	listed  bool // there is a list to go on from, at this address
 	again   *backoff.Window
+	dial    func(ctx context.Context, network, addr string) (net.Conn, error) // nil: TCP
 
 	mu    sync.Mutex
 	moved string // address to go on at; empty: no other
@@ -144,9 +145,8 @@
 func (w *Watcher) Run(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(w.Seed, 2))
 	w.again = backoff.New(w.Fleet)
-	if w.listed { // it can serve meanwhile
-		pause(ctx, w.again.Begin(rng.Float64()))
-	}
+	// With a list from before, the watch asks at once, for the changes since: without it, each server that drains
+	// meanwhile counts as told and is sent new requests (the drain rule, over a fleet of 300: roll, herd and join).
 	for ctx.Err() == nil {
 		within, end := w.begin(ctx)
 		err := w.follow(within)
@@ -195,7 +195,11 @@
 
 // follow uses one connection: the whole list where none is known, then the watch.
 func (w *Watcher) follow(ctx context.Context) error {
-	conn, err := (&net.Dialer{Timeout: connectFor}).DialContext(ctx, "tcp", w.Addr)
+	dial := w.dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: connectFor}).DialContext
+	}
+	conn, err := dial(ctx, "tcp", w.Addr)
 	if err != nil {
 		return fmt.Errorf("connect: %w", err)
 	}
