Retune classes at SIGHUP in the module, refuse broken files whole, answer INFO with figures

Change: settings.Check refuses a file whole (missing keys, deadlines or SendCap not positive); Gateway.Retune, the desk and the ingress swap classes and attempts under the engine's mutex, each open request keeping its own class; INFO gives statsd lines counted in the ingress (answers, active), upstream (writes whole), module (pool, avoided).

--- a/internal/attempt/desk.go
+++ b/internal/attempt/desk.go
@@ -93,14 +93,30 @@
 
 // NewDesk returns a desk around a gateway that nobody else uses. The settings are the gateway's.
 func NewDesk(g *passhub.Gateway, s *passhub.Settings) *Desk {
-	d := &Desk{gateway: g, most: max(1, s.MaxAttempts), once: map[string]bool{}, wrong: map[string]bool{}, open: map[uint64]*Request{}}
-	for _, c := range s.Classes {
+	d := &Desk{gateway: g, open: map[uint64]*Request{}}
+	d.classes(s.Classes, s.MaxAttempts)
+	return d
+}
+
+// classes learns what may run twice, and how often a request may be attempted.
+func (d *Desk) classes(classes []passhub.Class, most int) {
+	d.most, d.once, d.wrong = max(1, most), map[string]bool{}, map[string]bool{}
+	for _, c := range classes {
 		d.once[c.Name] = c.Effect != passhub.Safe
 		d.wrong[c.Name] = c.Effect == passhub.Unsafe || c.Effect == passhub.Keyed && c.Scope != passhub.ScopeAll
 	}
-	return d
 }
 
+// Retune goes by other classes and another number of attempts for requests that come from now on; those in hand keep
+// what their life began with. The gateway is told too.
+func (d *Desk) Retune(classes []passhub.Class, most int) {
+	d.classes(classes, most)
+	d.gateway.Retune(classes, most)
+}
+
+// Pool tells how many quote servers are listed, and how many of these the gateway avoids now.
+func (d *Desk) Pool(now passhub.Seconds) (listed, avoided int) { return d.gateway.Pool(now) }
+
 // Open is how many requests are in hand.
 func (d *Desk) Open() int { return len(d.open) }
 
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"os"
@@ -69,8 +70,11 @@
 func again(n *node.Node, logger *logrus.Logger, reload func(func(string) string) (*config.Config, error)) {
 	c, err := reload(os.Getenv)
 	if err == nil {
-		err = n.Reload(c)
+		if err = n.Reload(c); err != nil {
+			err = fmt.Errorf("%s: %w", cmp.Or(os.Getenv("NODE_CONFIG"), "the configuration"), err)
+		}
 	}
+	n.Reloaded(err == nil)
 	if err != nil {
 		logger.WithField("code", "process-reload-failed").WithError(err).Error("the configuration stays as it was")
 		return
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -24,6 +24,7 @@
 	Limits                  Limits
 	Known                   *discovery.List // nil: none
 	Settings                passhub.Settings
+	SettingsRaw             []byte // the settings as the file has them, to check a newer file against; nil: our own form
 
 	// Only our own file names these: the platform gives no place for them.
 	Static    bool   // Known is the whole list: there is no discovery
@@ -117,6 +118,7 @@
 	if l := c.Limits; l.Cores < 0 || l.MemoryMB < 0 || l.Sockets < 0 {
 		return nil, errors.New("limits: below zero")
 	}
+	c.SettingsRaw = file.Settings
 	if c.Settings, err = settings.Decode(file.Settings); err != nil {
 		return nil, err
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -60,6 +60,10 @@
 			if err != nil {
 				t.Fatal(err)
 			}
+			if len(got.SettingsRaw) == 0 {
+				t.Error("the settings as the file has them are not kept")
+			}
+			got.SettingsRaw = nil
 			if diff := cmp.Diff(tc.want, got); diff != "" {
 				t.Error(diff)
 			}
--- a/internal/config/hcl_test.go
+++ b/internal/config/hcl_test.go
@@ -95,6 +95,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	theirs.SettingsRaw = nil // our own form has none
 	if diff := cmp.Diff(theirs, ours); diff != "" {
 		t.Errorf("(-JSON +HCL):\n%s", diff)
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -5,6 +5,7 @@
 package engine
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -113,6 +114,21 @@
 	})
 }
 
+// Retune has the module go by other classes and another number of attempts from now on. Requests in hand keep the
+// class they began with. No request is decided meanwhile.
+func (e *Engine) Retune(classes []passhub.Class, maxAttempts int) {
+	e.mu.Lock()
+	e.desk.Retune(slices.Clone(classes), maxAttempts)
+	e.mu.Unlock()
+}
+
+// Pool tells how many quote servers are listed, and how many of these the module avoids now.
+func (e *Engine) Pool() (listed, avoided int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.desk.Pool(e.clock.Now())
+}
+
 // Revise lets a function change the catalogue, and tells the module what has changed by it. It returns the
 // catalogue that counts from now on. No request is decided meanwhile.
 func (e *Engine) Revise(change func(now passhub.Seconds) Catalogue) {
--- /dev/null
+++ b/internal/ingress/figures.go
@@ -0,0 +1,72 @@
+package ingress
+
+import (
+	"sort"
+	"sync"
+	"sync/atomic"
+)
+
+// mostClassFigures bounds the classes that figures are kept for: names that clients make up must not grow them.
+const mostClassFigures = 64
+
+// ClassFigures are the counts of one class since the process started.
+type ClassFigures struct {
+	Class                   string
+	OK, Shed, Errors, Tries int64 // answered 200; refused (503); failed (any other answer); attempts written whole
+}
+
+// figures are counted where the events happen: the answer written, the attempt written whole.
+type figures struct {
+	active  atomic.Int64 // requests taken and not yet ended
+	mu      sync.Mutex
+	classes map[string]*classCounts
+}
+
+type classCounts struct{ ok, shed, errors, tries atomic.Int64 }
+
+// of returns the counts of a class; nil where there are too many classes already.
+func (f *figures) of(class string) *classCounts {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.classes == nil {
+		f.classes = map[string]*classCounts{}
+	}
+	c := f.classes[class]
+	if c == nil && len(f.classes) < mostClassFigures {
+		c = &classCounts{}
+		f.classes[class] = c
+	}
+	return c
+}
+
+func (f *figures) count(class string, status int) {
+	c := f.of(class)
+	if c == nil {
+		return
+	}
+	switch status {
+	case 200:
+		c.ok.Add(1)
+	case 429, 503:
+		c.shed.Add(1)
+	default:
+		c.errors.Add(1)
+	}
+}
+
+func (f *figures) tried(class string, writes int) {
+	if c := f.of(class); c != nil && writes > 0 {
+		c.tries.Add(int64(writes))
+	}
+}
+
+// Figures are the counts of each class, by name, and the requests in hand now.
+func (s *Server) Figures() (classes []ClassFigures, active int64) {
+	s.figures.mu.Lock()
+	for name, c := range s.figures.classes {
+		classes = append(classes, ClassFigures{Class: name, OK: c.ok.Load(), Shed: c.shed.Load(), Errors: c.errors.Load(), Tries: c.tries.Load()})
+	}
+	s.figures.mu.Unlock()
+	sort.Slice(classes, func(i, j int) bool { return classes[i].Class < classes[j].Class })
+	return classes, s.figures.active.Load()
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -49,7 +49,7 @@
 	engine    *engine.Engine
 	pool      *upstream.Pool
 	log       *logrus.Logger
-	methods   map[string]string // by class
+	methods   atomic.Pointer[map[string]string] // by class
 	plans     atomic.Pointer[map[string]bool]
 	ingresses int
 	mostUnits float64
@@ -63,23 +63,20 @@
 	halt    context.Context
 	halted  context.CancelFunc
 	life    passhub.Lifecycle // readiness, and whether connections stay open after an answer
+
+	figures figures
 }
 
 // New returns a server for what the settings name, with at most so many connections at once.
 func New(s *passhub.Settings, e *engine.Engine, p *upstream.Pool, most int, log *logrus.Logger) *Server {
 	srv := &Server{
-		engine: e, pool: p, log: log, methods: map[string]string{},
+		engine: e, pool: p, log: log,
 		ingresses: max(1, s.Balancers), mostUnits: cmp.Or(s.MaxUnits, mostUnits), most: most,
 		conns: map[*conn]struct{}{}, ids: map[string]struct{}{},
 	}
 	srv.room.L = &srv.mu
 	srv.halt, srv.halted = context.WithCancel(context.Background())
-	for _, c := range s.Classes {
-		srv.methods[c.Name] = "POST"
-		if c.Effect == passhub.Safe {
-			srv.methods[c.Name] = "GET"
-		}
-	}
+	srv.SetClasses(s.Classes)
 	var names []string
 	for _, p := range s.Plans {
 		names = append(names, p.Name)
@@ -88,6 +85,20 @@
 	return srv
 }
 
+// SetClasses says which classes clients may name from now on; the class fixes the method. A request that is in hand
+// keeps what it was read with.
+func (s *Server) SetClasses(classes []passhub.Class) {
+	m := make(map[string]string, len(classes))
+	for _, c := range classes {
+		s.figures.of(c.Name)
+		m[c.Name] = "POST"
+		if c.Effect == passhub.Safe {
+			m[c.Name] = "GET"
+		}
+	}
+	s.methods.Store(&m)
+}
+
 // SetPlans says which plans clients may name from now on.
 func (s *Server) SetPlans(names []string) {
 	m := make(map[string]bool, len(names))
@@ -373,10 +384,15 @@
 	if r.Target == "/ready" {
 		return c.ready(r)
 	}
+	s.figures.active.Add(1)
+	defer s.figures.active.Add(-1)
 	request, message, bad := s.parse(r)
 	if bad != nil {
 		s.log.WithFields(logrus.Fields{"code": bad.code, "status": bad.status}).Warn("bad request")
 		c.watch <- nil
+		if class := r.Header.Get(keyClass); class != "" {
+			s.figures.count(class, bad.status)
+		}
 		return c.lastOf(r, c.answerProblem(bad, r.Close))
 	}
 
@@ -400,16 +416,20 @@
 				bill.open(s.Meter, &request, ticket, d.Beyond)
 			}
 			result := s.pool.Do(ctx, d.Backend, message, d.Until)
+			s.figures.tried(request.Class, result.Writes)
 			bill.arrival = max(bill.arrival, usage.ArrivalOf(result.Outcome, result.Answered))
 			if result.Outcome == passhub.Done {
 				err = c.answer(200, 0, result.Body, r.Close)
+				s.figures.count(request.Class, 200)
 				ticket.Ended(result.Outcome)
 				return c.lastOf(r, err)
 			}
 			ticket.Ended(result.Outcome)
 		case engine.Refuse:
+			s.figures.count(request.Class, 503)
 			return c.lastOf(r, c.answer(503, d.RetryAfter, nil, r.Close))
 		case engine.Fail:
+			s.figures.count(request.Class, 502)
 			return c.lastOf(r, c.answer(502, 0, nil, r.Close))
 		case engine.Gone:
 			return "client-gone", nil
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -57,7 +57,7 @@
 		return fail(400, "request-bad-id", "X-Request-ID is missing or not a word")
 	}
 	request.Class = r.Header.Get(keyClass)
-	method, known := s.methods[request.Class]
+	method, known := (*s.methods.Load())[request.Class]
 	if !known {
 		return fail(400, "request-unknown-class", "X-Priority-Class names no class")
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"runtime/debug"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -26,6 +27,7 @@
 	"mulleinrouter/internal/ingress"
 	"mulleinrouter/internal/mgmt"
 	"mulleinrouter/internal/plans"
+	"mulleinrouter/internal/settings"
 	"mulleinrouter/internal/upstream"
 	"mulleinrouter/internal/usage/export"
 	"mulleinrouter/internal/usage/segment"
@@ -62,6 +64,8 @@
 	ending sync.WaitGroup
 	closed []func()
 
+	applied, rejected atomic.Int64 // configuration files read at SIGHUP
+
 	mu    sync.Mutex
 	state *plans.State // nil: plans have not changed since the start
 	last  uint64       // number of the revision that the last reload made
@@ -173,10 +177,39 @@
 		return n.server.LameDuck(), nil
 	case "REJOIN":
 		return n.server.Rejoin(), nil
+	case "INFO":
+		return true, append(n.Figures(), "--")
 	}
 	return false, nil
 }
 
+// Reloaded counts a configuration file read at SIGHUP: taken, or turned down whole.
+func (n *Node) Reloaded(taken bool) {
+	if taken {
+		n.applied.Add(1)
+	} else {
+		n.rejected.Add(1)
+	}
+}
+
+// Figures are the figures of INFO, in the statsd line format: counts since the process started (|c) and levels now
+// (|g). Each is counted where its event happens: answers and attempts in the clients' side, the list and what of it
+// is avoided in the module, files at SIGHUP here.
+func (n *Node) Figures() []string {
+	classes, active := n.server.Figures()
+	listed, avoided := n.engine.Pool()
+	lines := make([]string, 0, 4*len(classes)+6)
+	var tries int64
+	for _, c := range classes {
+		lines = append(lines, mgmt.Count("ingress.responses."+c.Class+".ok", c.OK), mgmt.Count("ingress.responses."+c.Class+".shed", c.Shed),
+			mgmt.Count("ingress.responses."+c.Class+".errors", c.Errors), mgmt.Count("ingress.responses."+c.Class+".tries", c.Tries))
+		tries += c.Tries
+	}
+	return append(lines, mgmt.Count("ingress.tries", tries), mgmt.Gauge("ingress.active", active),
+		mgmt.Gauge("ingress.pool_size", int64(listed)), mgmt.Gauge("ingress.pool_ejected", int64(avoided)),
+		mgmt.Count("ingress.config_applied", n.applied.Load()), mgmt.Count("ingress.config_rejected", n.rejected.Load()))
+}
+
 // MgmtAddr is the management address; empty: there is none.
 func (n *Node) MgmtAddr() string {
 	if n.mgmt == nil {
@@ -296,6 +329,11 @@
 // Reload goes by a newer configuration, as far as it may change while serving: the addresses of discovery and the
 // counter, the servers that are written down, and the plans. It changes all of that or, with an error, nothing.
 func (n *Node) Reload(c *config.Config) error {
+	if n.config.SettingsRaw != nil {
+		if err := settings.Check(c.SettingsRaw, n.config.SettingsRaw); err != nil {
+			return err
+		}
+	}
 	if n.count != nil && c.Counter == "" && c.Embedded == "" {
 		return errCounter
 	}
@@ -316,6 +354,13 @@
 		n.log.WithFields(logrus.Fields{"code": "plans-revised", "revision": r.Number, "digest": r.Digest(), "verdict": plans.Late.String()}).Info("the settings have other plans")
 		n.config.Settings.Plans = c.Settings.Plans
 	}
+	if s := c.Settings; !slices.Equal(s.Classes, n.config.Settings.Classes) || s.MaxAttempts != n.config.Settings.MaxAttempts {
+		n.engine.Retune(s.Classes, s.MaxAttempts) // the module first: a request of a new class is known there when it comes
+		n.server.SetClasses(s.Classes)
+		n.config.Settings.Classes, n.config.Settings.MaxAttempts = slices.Clone(s.Classes), s.MaxAttempts
+		n.log.WithFields(logrus.Fields{"code": "process-retuned", "classes": len(s.Classes), "attempts": s.MaxAttempts}).Info("the settings have other classes")
+	}
+	n.config.SettingsRaw = c.SettingsRaw
 	if c.Static {
 		n.watcher.Known(c.Known)
 	} else {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,8 +3,10 @@
 package settings
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
+	"math"
 
 	"mulleinrouter/internal/jsontext"
 	"mulleinrouter/passhub"
@@ -86,3 +88,70 @@
 	}
 	return s, nil
 }
+
+// Check tells whether settings may take the place of those in force (before), as a SIGHUP brings them: nothing of a
+// file is taken unless all of it can be. Every key that the settings in force have must be there still, in each
+// section and in each class; each class needs a positive Deadline, and SendCap, the most attempts, must be a positive
+// whole number. The error names the key.
+func Check(raw, before []byte) error {
+	var now, then map[string]any
+	if err := jsontext.Decode(raw, &now); err != nil || now == nil {
+		return fmt.Errorf("settings: not an object: %w", cmp.Or(err, errNone))
+	}
+	if err := jsontext.Decode(before, &then); err != nil {
+		return fmt.Errorf("settings in force: %w", err)
+	}
+	if err := sameKeys("", now, then); err != nil {
+		return err
+	}
+	classes, _ := now["Classes"].([]any)
+	if len(classes) == 0 {
+		return errors.New("settings: Classes: none")
+	}
+	var model map[string]any // the keys of a class as they were
+	if old, _ := then["Classes"].([]any); len(old) > 0 {
+		model, _ = old[0].(map[string]any)
+	}
+	for i, c := range classes {
+		class, ok := c.(map[string]any)
+		if !ok {
+			return fmt.Errorf("settings: Classes[%d]: not an object", i)
+		}
+		if err := sameKeys(fmt.Sprintf("Classes[%d].", i), class, model); err != nil {
+			return err
+		}
+		if d, ok := class["Deadline"].(float64); !ok || !(d > 0) {
+			return fmt.Errorf("settings: Classes[%d].Deadline: %v is not a positive number", i, class["Deadline"])
+		}
+	}
+	if p, ok := now["Permissions"].(map[string]any); ok {
+		if v, there := p["SendCap"]; there {
+			if n, ok := v.(float64); !ok || !(n >= 1) || n != math.Trunc(n) {
+				return fmt.Errorf("settings: Permissions.SendCap: %v is not a positive whole number", v)
+			}
+		}
+	}
+	return nil
+}
+
+var errNone = errors.New("empty")
+
+// sameKeys tells of a key that then has and now lacks, one section deep.
+func sameKeys(prefix string, now, then map[string]any) error {
+	for key, v := range then {
+		w, there := now[key]
+		if !there || w == nil && v != nil {
+			return fmt.Errorf("settings: %s%s: missing", prefix, key)
+		}
+		if section, ok := v.(map[string]any); ok && prefix == "" {
+			inner, ok := w.(map[string]any)
+			if !ok {
+				return fmt.Errorf("settings: %s: not an object", key)
+			}
+			if err := sameKeys(key+".", inner, section); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -80,6 +80,7 @@
 type Result struct {
 	Outcome  passhub.Outcome
 	Answered bool // a whole answer came after the request had been written whole: it had arrived
+	Writes   int  // times the request was written whole, to one connection after another
 	Body     []byte
 }
 
@@ -90,14 +91,15 @@
 	if _, serving := p.lookup(backend); !serving || ctx.Err() != nil {
 		return Result{Outcome: passhub.Skipped}
 	}
+	writes := 0
 	for {
 		c, err := p.get(ctx, backend, until)
 		if errors.Is(err, errUnneeded) || errors.Is(err, errFull) {
-			return Result{Outcome: passhub.Skipped} // nothing was sent whole, and the server is not to blame
+			return Result{Outcome: passhub.Skipped, Writes: writes} // nothing was sent whole, and the server is not to blame
 		} else if err != nil {
-			return Result{Outcome: passhub.Refused}
+			return Result{Outcome: passhub.Refused, Writes: writes}
 		}
-		v, body, err := p.attempt(ctx, c, m, until)
+		v, body, err := p.attempt(ctx, c, m, until, &writes)
 		err = cmp.Or(err, v.Err)
 		if v.Keep {
 			p.put(c)
@@ -105,14 +107,14 @@
 			p.close(c, v.Code, err)
 		}
 		if !v.Again {
-			return Result{Outcome: v.Outcome, Answered: v.Answered, Body: body}
+			return Result{Outcome: v.Outcome, Answered: v.Answered, Body: body, Writes: writes}
 		}
 	}
 }
 
 // attempt is the life of a request on a connection: written, answered. What each end of it proves, and whether the
 // connection may be used again, is the link's to say.
-func (p *Pool) attempt(ctx context.Context, c *conn, m *Message, until time.Time) (v link.Verdict, body []byte, err error) {
+func (p *Pool) attempt(ctx context.Context, c *conn, m *Message, until time.Time, writes *int) (v link.Verdict, body []byte, err error) {
 	if err := c.Begin(); err != nil {
 		return c.Unwritten(link.Broke), nil, err
 	}
@@ -134,6 +136,7 @@
 		return c.Unwritten(link.Broke), nil, err
 	}
 	c.Written()
+	*writes++
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(longAgo) })
 	a, body, err := read(c.reader)
 	cancelled := !stop() // then the deadline may be changed at any time from now on
