Let relay end its answer as every other does, count figures with one lookup a request

A second reading of the change found three things it did twice or for nothing. relay mapped its own write errors and Connection: close the way lastOf and send already did; now it returns an error, lastOf names the ending (client-answer-cut for a broken-off stream), and send and relay end the head by one endHead. The figures took their lock at each event of a request; the class's counts are now looked up once a request. Lifecycle.HandOver was decided nowhere and Lifecycle.Alive repeated Phase.Alive: both go, with the test's column for HandOver.

--- a/internal/ingress/figures.go
+++ b/internal/ingress/figures.go
@@ -39,8 +39,8 @@
 	return c
 }
 
-func (f *figures) count(class string, status int) {
-	c := f.of(class)
+// count counts a final answer; a nil c, one of a class beyond the bound, counts nothing.
+func (c *classCounts) count(status int) {
 	if c == nil {
 		return
 	}
@@ -54,8 +54,9 @@
 	}
 }
 
-func (f *figures) tried(class string, writes int) {
-	if c := f.of(class); c != nil && writes > 0 {
+// tried counts the times an attempt was written whole.
+func (c *classCounts) tried(writes int) {
+	if c != nil && writes > 0 {
 		c.tries.Add(int64(writes))
 	}
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -391,7 +391,7 @@
 		s.log.WithFields(logrus.Fields{"code": bad.code, "status": bad.status}).Warn("bad request")
 		c.watch <- nil
 		if class := r.Header.Get(keyClass); class != "" {
-			s.figures.count(class, bad.status)
+			s.figures.of(class).count(bad.status)
 		}
 		return c.lastOf(r, c.answerProblem(bad, r.Close))
 	}
@@ -402,6 +402,7 @@
 		return c.lastOf(r, c.answerProblem(&problem{status: 409, code: "request-id-in-use", text: "X-Request-ID is that of a request in hand"}, r.Close))
 	}
 	defer s.free(message.ID)
+	counts := s.figures.of(request.Class) // once a request: the figures' lock is not taken for each of its events
 	c.to(busy)
 	ctx, cancel := context.WithCancel(s.halt)
 	defer cancel()
@@ -416,28 +417,25 @@
 				bill.open(s.Meter, &request, ticket, d.Beyond)
 			}
 			result := s.pool.Do(ctx, d.Backend, message, d.Until)
-			s.figures.tried(request.Class, result.Writes)
+			counts.tried(result.Writes)
 			bill.arrival = max(bill.arrival, usage.ArrivalOf(result.Outcome, result.Answered))
 			if result.Outcome == passhub.Done && result.Stream != nil {
 				ticket.Ended(result.Outcome) // served: what follows is the body's way to the client
-				s.figures.count(request.Class, 200)
-				if code, err := c.relay(result.Stream, r.Close); code != "" || err != nil {
-					return code, err
-				}
-				return c.lastOf(r, nil)
+				counts.count(200)
+				return c.lastOf(r, c.relay(result.Stream, r.Close))
 			}
 			if result.Outcome == passhub.Done {
 				err = c.answer(200, 0, result.Body, r.Close)
-				s.figures.count(request.Class, 200)
+				counts.count(200)
 				ticket.Ended(result.Outcome)
 				return c.lastOf(r, err)
 			}
 			ticket.Ended(result.Outcome)
 		case engine.Refuse:
-			s.figures.count(request.Class, 503)
+			counts.count(503)
 			return c.lastOf(r, c.answer(503, d.RetryAfter, nil, r.Close))
 		case engine.Fail:
-			s.figures.count(request.Class, 502)
+			counts.count(502)
 			return c.lastOf(r, c.answer(502, 0, nil, r.Close))
 		case engine.Gone:
 			return "client-gone", nil
@@ -500,6 +498,9 @@
 
 // lastOf tells whether the connection ends with this answer.
 func (c *conn) lastOf(r *http1.Request, err error) (string, error) {
+	if errors.Is(err, errAnswerCut) {
+		return "client-answer-cut", err
+	}
 	if err != nil {
 		return "client-write-failed", err
 	}
@@ -529,11 +530,7 @@
 }
 
 func (c *conn) send(b, body []byte, last bool) error {
-	if last || c.last() {
-		b = http1.AppendField(b, "Connection", "close")
-	}
-	b = append(b, "\r\n"...)
-	b = append(b, body...)
+	b = append(c.endHead(b, last), body...)
 	if c.out = b; cap(b) > 8<<10 {
 		c.out = nil // guards against many connections that each keep the room of a large answer
 	}
@@ -542,6 +539,14 @@
 	return err
 }
 
+// endHead ends an answer's head, with Connection: close where it is the last on its connection.
+func (c *conn) endHead(b []byte, last bool) []byte {
+	if last || c.last() {
+		b = http1.AppendField(b, "Connection", "close")
+	}
+	return append(b, "\r\n"...)
+}
+
 // sweep ends connections that hold their place for nothing.
 func (s *Server) sweep() {
 	ticker := time.NewTicker(sweepEvery)
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"strconv"
 	"sync"
@@ -18,9 +19,8 @@
 
 // relay passes a served answer's body from the quote server to the client as it comes, each piece written before the
 // next is read: nothing is held back, and nothing is kept but one piece. The head tells the length where the quote
-// server's did, else the body is chunked; a client whose answer is cut can tell. A code says why the connection
-// ends with it.
-func (c *conn) relay(st *upstream.Stream, last bool) (code string, err error) {
+// server's did, else the body is chunked; a client whose answer is cut can tell: errAnswerCut.
+func (c *conn) relay(st *upstream.Stream, last bool) error {
 	defer st.Close()
 	b := append(c.out[:0], "HTTP/1.1 200 OK\r\n"...)
 	chunked := st.Length < 0
@@ -29,13 +29,10 @@
 	} else {
 		b = http1.AppendField(b, "Content-Length", strconv.FormatInt(st.Length, 10))
 	}
-	if last || c.last() {
-		b = http1.AppendField(b, "Connection", "close")
-	}
-	b = append(b, "\r\n"...)
+	b = c.endHead(b, last)
 	c.out = b
 	if err := c.push(b); err != nil {
-		return "client-write-failed", err
+		return err
 	}
 	buf := pieces.Get().(*[]byte)
 	defer pieces.Put(buf)
@@ -48,15 +45,15 @@
 				head = append(head, "\r\n"...)
 				c.out = head
 				if err := c.push(head); err != nil {
-					return "client-write-failed", err
+					return err
 				}
 			}
 			if err := c.push(out); err != nil {
-				return "client-write-failed", err
+				return err
 			}
 			if chunked {
 				if err := c.push([]byte("\r\n")); err != nil {
-					return "client-write-failed", err
+					return err
 				}
 			}
 		}
@@ -65,21 +62,20 @@
 		}
 		if rerr != nil {
 			// The quote server stopped in the middle: the client can tell the answer is not whole when it ends here.
-			return "client-answer-cut", rerr
+			return fmt.Errorf("%w: %w", errAnswerCut, rerr)
 		}
 	}
 	if chunked {
 		if err := c.push([]byte("0\r\n\r\n")); err != nil {
-			return "client-write-failed", err
+			return err
 		}
 	}
 	c.SetWriteDeadline(time.Time{})
-	if last {
-		return "client-asked", nil
-	}
-	return "", nil
+	return nil
 }
 
+var errAnswerCut = errors.New("the quote server's answer broke off")
+
 // push writes a piece of an answer, with as long as a slow client may take for it.
 func (c *conn) push(b []byte) error {
 	c.to(writing) // from now: a client that takes longer over this piece holds the connection for nothing
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -50,17 +50,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(q.Stop)
-	c, err := config.ParseFile("test.hcl", []byte(fmt.Sprintf(`
-listen = "127.0.0.1:0"
-server "q" {
-  address = %q
-}
-class "quote-read" {
-  aim      = "20s"
-  deadline = "30s"
-  repeat   = "safe"
-}
-`, q.Addr())+text))
+	c, err := config.ParseFile("test.hcl", []byte(ours(q.Addr(), "quote-read")+text))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -75,10 +65,31 @@
 	return n, q, seen
 }
 
+// ours is a configuration of our own form with one quote server and one class that is safe to repeat.
+func ours(server, class string) string {
+	return fmt.Sprintf(`
+listen = "127.0.0.1:0"
+server "q" {
+  address = %q
+}
+class %q {
+  aim      = "20s"
+  deadline = "30s"
+  repeat   = "safe"
+}
+`, server, class)
+}
+
 var ids int
 
-// ask sends a request and tells the status.
+// ask sends a request of the class quote-read and tells the status.
 func ask(t *testing.T, n *Node, tier string) int {
+	t.Helper()
+	return askClass(t, n, "quote-read", tier)
+}
+
+// askClass sends a request of a class and tells the status.
+func askClass(t *testing.T, n *Node, class, tier string) int {
 	t.Helper()
 	ids++
 	r, err := http.NewRequest("GET", "http://"+n.Addr()+"/api/"+member, nil)
@@ -86,7 +97,7 @@
 		t.Fatal(err)
 	}
 	r.Close = true
-	for name, value := range map[string]string{"X-Request-ID": fmt.Sprint("r", ids), "X-Priority-Class": "quote-read", "X-Tier": tier,
+	for name, value := range map[string]string{"X-Request-ID": fmt.Sprint("r", ids), "X-Priority-Class": class, "X-Tier": tier,
 		"X-Timeout": "30", "X-Call-Terms": "units=1,spread=1,first=0"} {
 		r.Header.Set(name, value)
 	}
--- a/internal/node/operation_test.go
+++ b/internal/node/operation_test.go
@@ -103,17 +103,7 @@
 	if s := ask(t, n, "plus"); s != 200 {
 		t.Fatalf("before: %d", s)
 	}
-	c, err := config.ParseFile("test.hcl", []byte(fmt.Sprintf(`
-listen = "127.0.0.1:0"
-server "q" {
-  address = %q
-}
-class "quote-peek" {
-  aim      = "20s"
-  deadline = "30s"
-  repeat   = "safe"
-}
-`, q.Addr())+twoPlans))
+	c, err := config.ParseFile("test.hcl", []byte(ours(q.Addr(), "quote-peek")+twoPlans))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -123,19 +113,7 @@
 	if s := ask(t, n, "plus"); s != 400 {
 		t.Errorf("a request of the dropped class: %d, want 400", s)
 	}
-	ids++
-	r, _ := http.NewRequest("GET", "http://"+n.Addr()+"/api/"+member, nil)
-	r.Close = true
-	for name, value := range map[string]string{"X-Request-ID": fmt.Sprint("r", ids), "X-Priority-Class": "quote-peek", "X-Tier": "plus",
-		"X-Timeout": "30", "X-Call-Terms": "units=1,spread=1,first=0"} {
-		r.Header.Set(name, value)
-	}
-	a, err := http.DefaultClient.Do(r)
-	if err != nil {
-		t.Fatal(err)
-	}
-	a.Body.Close()
-	if a.StatusCode != 200 {
-		t.Errorf("a request of the added class: %d, want 200", a.StatusCode)
+	if s := askClass(t, n, "quote-peek", "plus"); s != 200 {
+		t.Errorf("a request of the added class: %d, want 200", s)
 	}
 }
--- a/passhub/lifecycle.go
+++ b/passhub/lifecycle.go
@@ -70,9 +70,6 @@
 // Ready tells whether the readiness page says yes: the front is to send new clients.
 func (l *Lifecycle) Ready() bool { return l.phase == Serving }
 
-// Alive tells whether the process says yes to its operators' PING: it can serve.
-func (l *Lifecycle) Alive() bool { return l.phase.Alive() }
-
 // KeepOpen tells whether a client's connection may stay open after an answer. Draining, each connection ends with its
 // next answer, or at once where it is idle: a connection held open would keep its client here. After SIGTERM,
 // connections stay open while the front still sends: clients that are told to go could only come back.
@@ -82,8 +79,5 @@
 // closed is ended unread: its client asks elsewhere.
 func (l *Lifecycle) Accepts() bool { return l.phase != Closing }
 
-// HandOver tells whether the clients' address is to be handed to a newer process beside this one.
-func (l *Lifecycle) HandOver() bool { return l.phase == Stopping || l.phase == Closing }
-
-// Alive tells whether a process in this phase says yes to its operators' PING.
+// Alive tells whether a process in this phase says yes to its operators' PING: it can serve.
 func (p Phase) Alive() bool { return p == Serving || p == LameDuck }
--- a/passhub/lifecycle_test.go
+++ b/passhub/lifecycle_test.go
@@ -9,27 +9,27 @@
 // TestLifecycle plays sequences of events and what the process then says.
 func TestLifecycle(t *testing.T) {
 	type said struct {
-		Phase                             string
-		Ready, Alive, Open, Accepts, Hand bool
-		Taken                             []bool
+		Phase                       string
+		Ready, Alive, Open, Accepts bool
+		Taken                       []bool
 	}
 	for _, c := range []struct {
 		name   string
 		events []LifeEvent
 		want   said
 	}{
-		{"new", nil, said{"starting", false, false, true, true, false, nil}},
-		{"started", []LifeEvent{Started}, said{"serving", true, true, true, true, false, []bool{true}}},
-		{"rejoin before serving is refused", []LifeEvent{Rejoin}, said{"starting", false, false, true, true, false, []bool{false}}},
-		{"lame duck", []LifeEvent{Started, Lame}, said{"lame-duck", false, true, false, true, false, []bool{true, true}}},
-		{"lame duck twice", []LifeEvent{Started, Lame, Lame}, said{"lame-duck", false, true, false, true, false, []bool{true, true, true}}},
-		{"rejoined", []LifeEvent{Started, Lame, Rejoin}, said{"serving", true, true, true, true, false, []bool{true, true, true}}},
-		{"started again changes nothing", []LifeEvent{Started, Lame, Started}, said{"lame-duck", false, true, false, true, false, []bool{true, true, true}}},
-		{"terminated", []LifeEvent{Started, Terminate}, said{"stopping", false, false, true, true, true, []bool{true, true}}},
-		{"closing", []LifeEvent{Started, Terminate, Close}, said{"closing", false, false, false, false, true, []bool{true, true, true}}},
-		{"closing refuses the rest", []LifeEvent{Started, Terminate, Close, Rejoin, Lame, Terminate}, said{"closing", false, false, false, false, true, []bool{true, true, true, false, false, false}}},
-		{"no way back from stopping", []LifeEvent{Started, Terminate, Rejoin, Lame, Started}, said{"stopping", false, false, true, true, true, []bool{true, true, false, false, false}}},
-		{"terminated while lame", []LifeEvent{Started, Lame, Terminate}, said{"stopping", false, false, true, true, true, []bool{true, true, true}}},
+		{"new", nil, said{"starting", false, false, true, true, nil}},
+		{"started", []LifeEvent{Started}, said{"serving", true, true, true, true, []bool{true}}},
+		{"rejoin before serving is refused", []LifeEvent{Rejoin}, said{"starting", false, false, true, true, []bool{false}}},
+		{"lame duck", []LifeEvent{Started, Lame}, said{"lame-duck", false, true, false, true, []bool{true, true}}},
+		{"lame duck twice", []LifeEvent{Started, Lame, Lame}, said{"lame-duck", false, true, false, true, []bool{true, true, true}}},
+		{"rejoined", []LifeEvent{Started, Lame, Rejoin}, said{"serving", true, true, true, true, []bool{true, true, true}}},
+		{"started again changes nothing", []LifeEvent{Started, Lame, Started}, said{"lame-duck", false, true, false, true, []bool{true, true, true}}},
+		{"terminated", []LifeEvent{Started, Terminate}, said{"stopping", false, false, true, true, []bool{true, true}}},
+		{"closing", []LifeEvent{Started, Terminate, Close}, said{"closing", false, false, false, false, []bool{true, true, true}}},
+		{"closing refuses the rest", []LifeEvent{Started, Terminate, Close, Rejoin, Lame, Terminate}, said{"closing", false, false, false, false, []bool{true, true, true, false, false, false}}},
+		{"no way back from stopping", []LifeEvent{Started, Terminate, Rejoin, Lame, Started}, said{"stopping", false, false, true, true, []bool{true, true, false, false, false}}},
+		{"terminated while lame", []LifeEvent{Started, Lame, Terminate}, said{"stopping", false, false, true, true, []bool{true, true, true}}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var l Lifecycle
@@ -37,7 +37,7 @@
 			for _, e := range c.events {
 				got.Taken = append(got.Taken, l.Handle(e))
 			}
-			got.Phase, got.Ready, got.Alive, got.Open, got.Accepts, got.Hand = l.Phase().String(), l.Ready(), l.Alive(), l.KeepOpen(), l.Accepts(), l.HandOver()
+			got.Phase, got.Ready, got.Alive, got.Open, got.Accepts = l.Phase().String(), l.Ready(), l.Phase().Alive(), l.KeepOpen(), l.Accepts()
 			if d := cmp.Diff(c.want, got); d != "" {
 				t.Errorf("(-want +got)\n%s", d)
 			}
