Stream request bodies over 64 KiB to one attempt, and read off what is left of a refused one

Change: http1 reads a request's head and leaves a long body on the connection; upstream copies it in pieces of 32 KiB while it listens to the server; attempt.Life has no Send once a byte of it is taken, and the module is told (Spent). client.Pace decides how long a body may take.

--- a/internal/attempt/desk.go
+++ b/internal/attempt/desk.go
@@ -39,6 +39,7 @@
 	deadline passhub.Seconds
 	sent     passhub.Seconds
 	backend  string
+	long     bool // its body goes up as it comes
 }
 
 // ID names it to the module.
@@ -124,7 +125,7 @@
 func (d *Desk) Submit(now passhub.Seconds, r passhub.Request, host any) (*Request, []Effect) {
 	d.last++
 	r.ID = d.last
-	q := &Request{Host: host, id: d.last, deadline: now + r.Left, life: Life{Once: d.once[r.Class], Wrong: d.wrong[r.Class], Most: d.most}}
+	q := &Request{Host: host, id: d.last, deadline: now + r.Left, long: r.Long, life: Life{Once: d.once[r.Class], Wrong: d.wrong[r.Class], Most: d.most}}
 	d.open[q.id] = q
 	return q, d.Handle(now, r)
 }
@@ -142,13 +143,22 @@
 	if over && !mutated("ended-stays") {
 		delete(d.open, q.id)
 	}
-	d.handle(now, passhub.AttemptEnded{ID: q.id, Attempt: q.life.attempts - 1, Backend: q.backend, Outcome: o, Took: now - q.sent, Settled: over})
+	d.handle(now, passhub.AttemptEnded{ID: q.id, Attempt: q.life.attempts - 1, Backend: q.backend, Outcome: o, Took: now - q.sent, Settled: over, Spent: q.life.spent})
 	if gone && !mutated("gone-untold") {
 		d.out = append(d.out, Tell{q, Decision{Kind: Gone}})
 	}
 	return d.out
 }
 
+// Spend tells that something of a request's body has been taken that cannot be had again.
+func (d *Desk) Spend(q *Request) { q.life.Spend() }
+
+// Arrived tells that the body of a request has gone out whole: the quote server's time counts from now on.
+func (d *Desk) Arrived(now passhub.Seconds, q *Request) {
+	q.sent = now
+	d.gateway.Arrived(now, q.id)
+}
+
 // Leave tells that nobody waits for the answer any more. An attempt that is out is still to be told of.
 func (d *Desk) Leave(now passhub.Seconds, q *Request) []Effect {
 	d.out = nil
@@ -221,6 +231,9 @@
 		return
 	}
 	q.backend, q.sent = a.Backend, now
+	if q.long {
+		d.gateway.Uploading(q.id)
+	}
 	until := q.deadline
 	if mutated("no-time-out") {
 		until += 60
--- a/internal/attempt/life.go
+++ b/internal/attempt/life.go
@@ -34,6 +34,7 @@
 	ErrPhase  = errors.New("not in this phase")
 	ErrMany   = errors.New("one attempt too many")
 	ErrTwice  = errors.New("it may have run and must not run twice")
+	ErrSpent  = errors.New("its body has gone")
 	ErrRefuse = errors.New("a refusal, though it may have run and must not run twice")
 )
 
@@ -46,6 +47,7 @@
 	phase    Phase
 	attempts int
 	mayRun   bool // an attempt that is over may have run, or may yet
+	spent    bool // of its body, something has been taken that cannot be had again
 }
 
 // Phase tells where it is.
@@ -57,6 +59,12 @@
 // MayHaveRun tells whether an attempt may have run, or may yet, as far as is known.
 func (l *Life) MayHaveRun() bool { return l.mayRun || l.phase == Out || l.phase == Deserted }
 
+// Spend tells that something of its body has been taken that cannot be had again: the attempt that is out is the last.
+func (l *Life) Spend() { l.spent = true }
+
+// Spent tells whether it cannot be sent again.
+func (l *Life) Spent() bool { return l.spent }
+
 // Send is the decision to make an attempt.
 func (l *Life) Send() error {
 	switch {
@@ -64,6 +72,8 @@
 		return fmt.Errorf("send while %v: %w", l.phase, ErrPhase)
 	case l.attempts >= max(1, l.Most):
 		return fmt.Errorf("send after %d: %w", l.attempts, ErrMany)
+	case l.spent && !mutated("spent-again"):
+		return fmt.Errorf("send: %w", ErrSpent)
 	case l.Once && l.mayRun:
 		return fmt.Errorf("send: %w", ErrTwice)
 	}
--- /dev/null
+++ b/internal/client/pace.go
@@ -0,0 +1,51 @@
+// Package client decides about the connections of clients: how long what they send may take to come. It does no I/O,
+// reads no clock and starts no goroutine.
+package client
+
+import "mulleinrouter/passhub"
+
+const (
+	bodyFree  = 2.0      // s for which a body may be waited for before its rate counts
+	bodyLeast = 32 << 10 // bytes a second that it owes from then on: clients send 64 kB/s or more
+	stallMost = 2.5      // s in which nothing comes of a body that is read whole: its client is not at it any more
+	longStall = 10.0     // s in which nothing comes of a long one: peers take seconds over a piece of any size
+	headMost  = 2.6      // s for a head: clients may take 2 s, and who takes 3 must have been ended by then
+)
+
+// HeadMost is how long the head of a request may take to come, in seconds.
+const HeadMost passhub.Seconds = headMost
+
+// Pace is how the body of one request comes in. Only the time for which it is waited for counts: not that for which the
+// quote server, or the decision, is. Its zero value is one of which nothing has been waited for.
+type Pace struct {
+	Long bool // it is passed on as it comes, and may come in pieces of any size
+
+	got     int64
+	waited  passhub.Seconds
+	since   passhub.Seconds
+	waiting bool
+}
+
+// Wait tells that the next piece is waited for from now on.
+func (p *Pace) Wait(now passhub.Seconds) { p.since, p.waiting = now, true }
+
+// Got tells that so many bytes have come.
+func (p *Pace) Got(now passhub.Seconds, n int) {
+	if p.waiting {
+		p.waited += max(0, now-p.since)
+	}
+	p.waiting = false
+	p.got += int64(n)
+}
+
+// Late tells whether it is to be given up: nothing has come for long, or it trickles.
+func (p *Pace) Late(now passhub.Seconds) bool {
+	if !p.waiting {
+		return false
+	}
+	still, most := now-p.since, stallMost
+	if p.Long {
+		most = longStall
+	}
+	return still > most || p.waited+still > bodyFree+float64(p.got)/bodyLeast
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -206,6 +206,21 @@
 	t.engine.do(func(now passhub.Seconds) []attempt.Effect { return t.engine.desk.Ended(now, t.request, outcome) })
 }
 
+// Spend tells that something of the request's body has been taken that cannot be had again: the attempt that is out is
+// the last.
+func (t *Ticket) Spend() {
+	t.engine.mu.Lock()
+	t.engine.desk.Spend(t.request)
+	t.engine.mu.Unlock()
+}
+
+// Arrived tells that the body of a long request has gone out whole.
+func (t *Ticket) Arrived() {
+	t.engine.mu.Lock()
+	t.engine.desk.Arrived(t.engine.clock.Now(), t.request)
+	t.engine.mu.Unlock()
+}
+
 // Leave tells that nobody waits for the answer any more. An attempt that is out is still to be told of.
 func (t *Ticket) Leave() {
 	t.engine.do(func(now passhub.Seconds) []attempt.Effect { return t.engine.desk.Leave(now, t.request) })
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -8,7 +8,11 @@
 //	NAME < TEXT    reads as many lines as TEXT has, which must be it; a * at a line's end stands for any rest
 //	NAME << TEXT   reads as many bytes as TEXT has, which must be it
 //	NAME takes T   reads a whole request, body included, that begins with the line T
+//	NAME takes head T  the same without its body
 //	NAME chunk T   writes T as one line in a chunk of a chunked body
+//	NAME sends N K writes bytes K to N of a body in which each byte tells where it stands
+//	NAME gets N K  reads as many, which must be these
+//	NAME whole N   reads a chunked body, which must be bytes 0 to N
 //	NAME accept    takes the next connection to a listener; the first is taken by itself
 //	NAME eof       the other side must end the connection
 //	NAME close     ends it; NAME reset does so with a reset; NAME stop ends the listener
@@ -20,9 +24,11 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
+	"net/http/httputil"
 	"net/textproto"
 	"os"
 	"path/filepath"
@@ -167,9 +173,29 @@
 		return line, err
 	case "takes":
 		came, err = c.request(plain)
+		plain, _ = strings.CutPrefix(plain, "head ")
 	case "chunk":
 		_, err = fmt.Fprintf(c, "%x\r\n%s\n\r\n", len(plain)+1, plain)
 		return line, err
+	case "sends":
+		from, to := span(plain)
+		_, err = c.Write(Body(from, to-from))
+		return line, err
+	case "gets":
+		from, to := span(plain)
+		b := make([]byte, to-from)
+		if _, err = io.ReadFull(c.r, b); err != nil || !bytes.Equal(b, Body(from, to-from)) {
+			return "", fmt.Errorf("not these bytes: %w", err)
+		}
+		return line, nil
+	case "whole":
+		from, to := span(plain + " 0")
+		b, err := io.ReadAll(httputil.NewChunkedReader(c.r))
+		if err != nil || !bytes.Equal(b, Body(from, to)) {
+			return "", fmt.Errorf("not these bytes: %w", err)
+		}
+		_, err = c.r.ReadString('\n') // the empty line behind the last chunk
+		return line, err
 	case "close", "reset":
 		delete(p.conns, name)
 		if verb == "reset" {
@@ -211,6 +237,23 @@
 	return fmt.Sprintf("%s %s %s", name, verb, strings.Trim(strconv.Quote(came), `"`)), err
 }
 
+// Body are n bytes from one on of a body in which each byte tells where it stands.
+func Body(from, n int) []byte {
+	b := make([]byte, n)
+	for i := range b {
+		b[i] = byte((from + i) % 251)
+	}
+	return b
+}
+
+// span reads "N K", the end of a span and its beginning.
+func span(text string) (from, to int) {
+	end, begin, _ := strings.Cut(text, " ")
+	to, _ = strconv.Atoi(end)
+	from, _ = strconv.Atoi(begin)
+	return from, to
+}
+
 // request reads one request. It returns as much of the first line as was asked for.
 func (c *conn) request(want string) (came string, err error) {
 	r := textproto.NewReader(c.r)
@@ -221,6 +264,12 @@
 	if err != nil {
 		return came, err
 	}
+	if want, ok := strings.CutPrefix(want, "head "); ok {
+		if strings.HasPrefix(came, want) {
+			came = want
+		}
+		return came, nil
+	}
 	length, _ := strconv.ParseInt(head.Get("Content-Length"), 10, 64)
 	if _, err = io.CopyN(io.Discard, c.r, length); strings.HasPrefix(came, want) {
 		came = want
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -18,11 +18,14 @@
 const (
 	// MaxHead bounds a start line with its headers: a peer could else send one without end.
 	MaxHead = 16 << 10
-	// MaxBody is the most that a message may carry.
+	// MaxBody is the most of a body that is read whole. A longer one is passed on as it comes.
 	MaxBody = 64 << 10
+	// MostBody is the most that a request may carry.
+	MostBody = 32 << 20
 
 	mostInterim   = 8        // 1xx answers before one: a server could else send them without end
-	chunkOverhead = 64 << 10 // most that the framing of a whole chunked body may take
+	chunkOverhead = 64 << 10 // bytes that the framing of a chunked body may take, and chunkPart times its content:
+	chunkPart     = 16       // one byte a chunk is legal, lines without end for nothing are not
 )
 
 // What can be wrong with a message. Any of them leaves the connection without a known place to go on.
@@ -32,6 +35,7 @@
 	ErrHeadTooLarge = errors.New("start line and headers too large")
 	ErrFraming      = errors.New("broken length or transfer coding")
 	ErrBodyTooLarge = errors.New("body too large")
+	ErrExpect       = errors.New("an expectation that cannot be met")
 )
 
 // Reader reads the messages of one connection.
@@ -59,16 +63,60 @@
 // Buffered tells how many bytes have been read from the connection ahead of the messages.
 func (m *Reader) Buffered() int { return m.buf.Buffered() }
 
-// Request is one request, its body included.
+// Request is one request: its head and, once ReadBody has been called, its body.
 type Request struct {
 	Method, Target string
 	Header         textproto.MIMEHeader
 	Body           []byte
-	Close          bool // the connection ends with the answer
+	Long           *Body // a body over MaxBody: it is still on the connection, to be read as it comes; Body is then nil
+	Close          bool  // the connection ends with the answer
+	Old            bool  // HTTP/1.0: it knows no chunks
+	Expect         bool  // the client waits for 100 Continue before it sends the body
+	framing
+}
+
+// FitsNot tells whether the head tells that the body is longer than MaxBody.
+func (r *Request) FitsNot() bool { return r.length > MaxBody }
+
+// HasBody tells whether a body follows the head.
+func (r *Request) HasBody() bool { return r.chunked || r.length > 0 }
+
+// Body is a body that is read as it comes.
+type Body struct {
+	Length int64 // as the head tells it; -1: chunked
+
+	begin []byte // of a chunked one: what was read before it proved to be long
+	rest  io.Reader
+	left  int64 // that may still come
+	ended bool  // all of it has been read
 }
 
-// Request reads the next request.
-func (m *Reader) Request() (*Request, error) {
+// Read reads what has come. io.EOF: it has all come. ErrBodyTooLarge: it is longer than MostBody.
+func (b *Body) Read(p []byte) (n int, err error) {
+	if len(b.begin) > 0 {
+		n = copy(p, b.begin)
+		b.begin = b.begin[n:]
+	} else if n, err = b.rest.Read(p); errors.Is(err, io.EOF) && b.Length >= 0 && int64(n) < b.left {
+		err = io.ErrUnexpectedEOF
+	}
+	if b.left -= int64(n); b.left < 0 {
+		return 0, ErrBodyTooLarge
+	}
+	if err == nil && b.Length >= 0 && b.left == 0 {
+		err = io.EOF // with the last byte: nobody is to wait for one more
+	}
+	b.ended = errors.Is(err, io.EOF)
+	return n, err
+}
+
+// Rest is how much of it is still to come, in bytes; of a chunked one, how much may be.
+func (b *Body) Rest() int64 { return b.left }
+
+// Ended tells whether all of it has been read.
+func (b *Body) Ended() bool { return b.ended }
+
+// Head reads the head of the next request. Its body is ReadBody's to read.
+func (m *Reader) Head() (*Request, error) {
 	m.limit.N = MaxHead - int64(m.buf.Buffered())
 	line, err := m.startLine()
 	if err != nil {
@@ -84,16 +132,48 @@
 	if r.Header, err = m.header(); err != nil {
 		return nil, err
 	}
+	r.Old = proto == "HTTP/1.0"
 	r.Close = closes(r.Header, proto)
-	f, err := framingOf(r.Header, MaxBody)
-	if err != nil {
+	if r.framing, err = framingOf(r.Header, MostBody); err != nil {
 		return nil, err
 	}
-	if f.untilClose {
-		f = framing{} // a request without a length has no body
+	if r.chunked && r.Old {
+		return nil, fmt.Errorf("%w: a transfer coding in HTTP/1.0", ErrFraming) // RFC 9112, 6.1: its framing is faulty
+	}
+	if expect := r.Header["Expect"]; len(expect) > 0 && !r.Old { // RFC 9110, 10.1.1: of 1.0 it is to be ignored
+		if len(expect) > 1 || !strings.EqualFold(expect[0], "100-continue") {
+			return nil, fmt.Errorf("%w: %.40q", ErrExpect, expect)
+		}
+		r.Expect = true
+	}
+	if r.untilClose {
+		r.framing = framing{} // a request without a length has no body
 	}
-	r.Body, err = m.body(f)
-	return r, err
+	return r, nil
+}
+
+// ReadBody reads the body that follows a head: the whole of it, or, where it is longer than MaxBody, r.Long is set.
+func (m *Reader) ReadBody(r *Request) (err error) {
+	if !r.chunked && r.length <= MaxBody {
+		r.Body, err = m.body(r.framing)
+		return err
+	}
+	m.limit.N = math.MaxInt64
+	if !r.chunked {
+		r.Long = &Body{Length: r.length, rest: io.LimitReader(m.buf, r.length), left: r.length}
+		return nil
+	}
+	rest := &chunks{m: m}
+	begin, err := io.ReadAll(io.LimitReader(rest, MaxBody+1))
+	if err != nil {
+		return err
+	}
+	if len(begin) <= MaxBody {
+		r.Body = begin
+		return nil
+	}
+	r.Long = &Body{Length: -1, begin: begin, rest: rest, left: MostBody}
+	return nil
 }
 
 // Response is the head of an answer.
@@ -234,7 +314,7 @@
 func (m *Reader) body(f framing) ([]byte, error) {
 	switch {
 	case f.chunked:
-		m.limit.N = MaxBody + chunkOverhead
+		m.limit.N = math.MaxInt64
 		return m.bounded(&chunks{m: m})
 	case f.untilClose:
 		m.limit.N = math.MaxInt64
@@ -255,7 +335,7 @@
 
 func (m *Reader) bounded(r io.Reader) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(r, MaxBody+1))
-	if len(body) > MaxBody || m.limit.N <= 0 {
+	if len(body) > MaxBody {
 		return nil, ErrBodyTooLarge
 	}
 	return body, err
@@ -263,10 +343,11 @@
 
 // chunks reads a chunked body up to and with its trailer.
 type chunks struct {
-	m     *Reader
-	left  uint64
-	begun bool
-	err   error
+	m          *Reader
+	left       uint64
+	over, data int64 // bytes of framing and of content so far
+	begun      bool
+	err        error
 }
 
 func (c *chunks) Read(p []byte) (int, error) {
@@ -278,6 +359,7 @@
 	}
 	n, err := c.m.buf.Read(p[:min(uint64(len(p)), c.left)])
 	c.left -= uint64(n)
+	c.data += int64(n)
 	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
 	}
@@ -321,6 +403,9 @@
 	case err != nil:
 		return nil, err
 	}
+	if c.over += int64(len(line)); c.over > chunkOverhead+chunkPart*c.data {
+		return nil, ErrBodyTooLarge
+	}
 	line, ok := bytes.CutSuffix(line, []byte("\r\n"))
 	if !ok || bytes.IndexByte(line, '\r') >= 0 {
 		return nil, ErrFraming // RFC 9112, 7.1: where a reader takes less for a line's end, another sees another message
@@ -361,7 +446,7 @@
 
 var reasons = map[int]string{
 	200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict",
-	413: "Content Too Large", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
+	413: "Content Too Large", 417: "Expectation Failed", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
 	502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
 }
 
@@ -398,3 +483,22 @@
 	b = strconv.AppendFloat(b, seconds, 'f', 3, 64)
 	return append(b, "\r\n"...)
 }
+
+// ChunkRoom is what Chunk needs before a piece of a body, and ChunkEnd behind it.
+const ChunkRoom, ChunkEnd = 10, 7
+
+// Chunk makes one chunk, in place, of the n bytes that stand at ChunkRoom in b, so that a single write sends it; last: the
+// body ends with it, without a trailer. Without bytes and not the last there is nothing to send.
+func Chunk(b []byte, n int, last bool) []byte {
+	begin, end := ChunkRoom, ChunkRoom+n
+	if n > 0 {
+		var size [ChunkRoom]byte
+		head := append(strconv.AppendInt(size[:0], int64(n), 16), "\r\n"...)
+		begin -= copy(b[ChunkRoom-len(head):], head)
+		end += copy(b[end:], "\r\n")
+	}
+	if last {
+		end += copy(b[end:], "0\r\n\r\n")
+	}
+	return b[begin:end]
+}
--- /dev/null
+++ b/internal/ingress/body.go
@@ -0,0 +1,171 @@
+package ingress
+
+import (
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"mulleinrouter/internal/client"
+	"mulleinrouter/internal/engine"
+	"mulleinrouter/internal/http1"
+	"mulleinrouter/internal/upstream"
+	"mulleinrouter/passhub"
+)
+
+// take reads the body of a request that fits, or the beginning of one that does not: that one is the upload's.
+func (c *conn) take(r *http1.Request) error {
+	if r.Expect && !r.FitsNot() {
+		if _, err := c.Write(goOn); err != nil {
+			return err
+		}
+		r.Expect = false
+	}
+	c.paces(client.Pace{})
+	err := c.reader.ReadBody(r)
+	c.paced = false
+	return err
+}
+
+// goOn tells a client that waits for it to send the body.
+var goOn = []byte("HTTP/1.1 100 Continue\r\n\r\n")
+
+// paces begins a body: from now on the sweep looks at how it comes.
+func (c *conn) paces(p client.Pace) {
+	c.to(taking)
+	c.server.mu.Lock()
+	c.pace = p
+	c.server.mu.Unlock()
+	c.paced = true
+}
+
+// Read reads from the client, and tells the pace of a body that is being taken.
+func (c *conn) Read(p []byte) (int, error) {
+	if !c.paced {
+		return c.Conn.Read(p)
+	}
+	s := c.server
+	s.mu.Lock()
+	c.pace.Wait(s.seconds(time.Now()))
+	s.mu.Unlock()
+	n, err := c.Conn.Read(p)
+	s.mu.Lock()
+	c.pace.Got(s.seconds(time.Now()), n)
+	s.mu.Unlock()
+	return n, err
+}
+
+// seconds is a moment on the server's own clock.
+func (s *Server) seconds(at time.Time) passhub.Seconds { return at.Sub(s.base).Seconds() }
+
+// unwatched has nobody look out for the client's leaving while an answer is made. Behind a long body, skip does.
+func (c *conn) unwatched(r *http1.Request) {
+	if r.Long == nil {
+		c.watch <- nil
+	}
+}
+
+// skipMost is the most of a body that is read off so that its connection can be kept: more is not worth its transport.
+const skipMost = 4 << 20
+
+// ends tells whether an answer is the last on its connection for its request's sake: the client asks for it, or too much
+// of a body would have to be read off first.
+func ends(r *http1.Request) bool {
+	return r.Close || r.Long != nil && !r.Long.Ended() && r.Long.Length >= 0 && r.Long.Rest() > skipMost
+}
+
+// skip reads off what is left of a body that was answered before it was up: the next request begins behind it.
+func (c *conn) skip(b *http1.Body) (whole bool) {
+	c.SetReadDeadline(time.Time{})
+	c.paces(client.Pace{Long: true})
+	n, err := io.Copy(io.Discard, io.LimitReader(b, skipMost))
+	c.paced = false
+	if err != nil || n == skipMost && !b.Ended() {
+		return false
+	}
+	c.watch <- nil
+	return true
+}
+
+// upload is a long body on its way from the client to a quote server. Its Read is called by the goroutine that sends it
+// on, which is over before the attempt is told to have ended.
+type upload struct {
+	conn   *conn
+	ticket *engine.Ticket
+	body   *http1.Body
+	expect bool // the client waits for a word before it sends it
+	spent  bool
+	failed error // the client did not send it to its end
+
+	mu             sync.Mutex
+	whole, aborted bool
+}
+
+func (u *upload) Read(p []byte) (n int, err error) {
+	if !u.spent {
+		u.spent = true
+		u.ticket.Spend()
+		u.conn.paces(client.Pace{Long: true})
+		if u.expect {
+			u.conn.Write(goOn) // where it fails, the body does not come
+		}
+	}
+	n, err = u.body.Read(p)
+	if err == nil {
+		return n, nil
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.whole = errors.Is(err, io.EOF); !u.whole && !u.aborted { // else the error is the abort's, not the client's
+		u.failed = err
+	}
+	return n, err
+}
+
+// Length is what the client's head tells.
+func (u *upload) Length() int64 { return u.body.Length }
+
+// Spent tells whether something of it has been read.
+func (u *upload) Spent() bool { return u.spent }
+
+// Arrived hands the connection to the watcher: the client's next request may come, or the client may leave.
+func (u *upload) Arrived() {
+	u.conn.paced = false
+	u.conn.to(busy)
+	u.ticket.Arrived()
+	u.conn.watch <- u.ticket
+}
+
+// Abort ends a Read that is out.
+func (u *upload) Abort() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.whole {
+		u.aborted = true
+		u.conn.SetReadDeadline(longAgo)
+	}
+}
+
+// unfinished tells whether something of it still stands on the connection.
+func (u *upload) unfinished() bool { return u != nil && !u.whole }
+
+var longAgo = time.Unix(1, 0)
+
+// linger reads off what a client still sends, for a while: closing with unread bytes would reset the connection, and the
+// answer might be lost with it.
+func (c *conn) linger(most time.Duration) {
+	c.paced = false
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		tcp.CloseWrite()
+	}
+	c.to(closing)
+	buf := upstream.Pieces.Get().(*[]byte)
+	defer upstream.Pieces.Put(buf)
+	for end := time.Now().Add(most); time.Now().Before(end); {
+		c.SetReadDeadline(time.Now().Add(lingerMost))
+		if _, err := c.Conn.Read(*buf); err != nil {
+			return
+		}
+	}
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -15,6 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"mulleinrouter/internal/client"
 	"mulleinrouter/internal/engine"
 	"mulleinrouter/internal/http1"
 	"mulleinrouter/internal/upstream"
@@ -24,13 +25,15 @@
 
 const (
 	sweepEvery  = 250 * time.Millisecond
-	idleMost    = 2 * time.Second        // clients may count on no more: many ask once and keep the connection
-	requestMost = 2 * time.Second        // for a request to come in, the first one from the connection's beginning
-	wholeSoon   = 100 * time.Millisecond // a client that means it sends a request whole at once
-	acceptPause = 10 * time.Millisecond  // guards against spinning on an error that stays
-	stuckMost   = 10 * time.Second       // a client that takes longer over an answer holds the connection for nothing
-	crowdedPart = 8                      // of the places: with no more left, an answer is the last on its connection
-	lingerMost  = time.Second            // for a client to read why it is refused
+	idleMost    = 2 * time.Second                                       // clients may count on no more: many ask once and keep the connection
+	silentMost  = 2 * time.Second                                       // for the first byte of a client
+	headMost    = time.Duration(client.HeadMost * float64(time.Second)) // for a head, the first one from the connection's beginning
+	wholeSoon   = 100 * time.Millisecond                                // a client that means it sends a request whole at once
+	acceptPause = 10 * time.Millisecond                                 // guards against spinning on an error that stays
+	stuckMost   = 10 * time.Second                                      // a client that takes longer over an answer holds the connection for nothing
+	crowdedPart = 8                                                     // of the places: with no more left, an answer is the last on its connection
+	lingerMost  = time.Second                                           // for a client to read why it is refused, or to send more of what is read off
+	lingerLong  = 5 * time.Second                                       // for the rest of a long body to be read off
 )
 
 // Meter records tries for billing. Its methods return at once and may be called from several goroutines.
@@ -55,6 +58,8 @@
 	mostUnits float64
 	most      int // connections at once
 
+	base time.Time // the pace's times are seconds since then
+
 	mu      sync.Mutex
 	conns   map[*conn]struct{}
 	ids     map[string]struct{} // of the requests in hand
@@ -72,7 +77,7 @@
 	srv := &Server{
 		engine: e, pool: p, log: log,
 		ingresses: max(1, s.Balancers), mostUnits: cmp.Or(s.MaxUnits, mostUnits), most: most,
-		conns: map[*conn]struct{}{}, ids: map[string]struct{}{},
+		conns: map[*conn]struct{}{}, ids: map[string]struct{}{}, base: time.Now(),
 	}
 	srv.room.L = &srv.mu
 	srv.halt, srv.halted = context.WithCancel(context.Background())
@@ -113,7 +118,8 @@
 
 const (
 	idle    state = iota // between requests
-	reading              // a request has begun to come in
+	reading              // the head of a request comes in
+	taking               // its body does
 	busy                 // a request is in the engine's hands
 	writing              // an answer goes out
 	closing              // the last answer has gone out; it is to be read before the connection ends
@@ -125,15 +131,18 @@
 	server  *Server
 	reader  *http1.Reader
 	out     []byte
+	unread  time.Duration       // something that was sent is not read: for so long the connection must not end under it
+	paced   bool                // a body is being taken: only whoever takes it looks at this
 	watch   chan *engine.Ticket // the request in hand, for the watcher
 	arrived chan error          // the watcher's word: the next request begins, or the connection is over
 
 	// Guarded by the server's mutex.
 	state state
-	since time.Time // in that state; until a first request is whole, since the beginning
-	fresh bool      // no request has come in whole
-	asks  bool      // idle, but bytes of a request are here
-	code  string    // why it was ended from outside
+	since time.Time   // in that state; until a first request is whole, since the beginning
+	fresh bool        // no request has come in whole
+	asks  bool        // idle, but bytes of a request are here
+	pace  client.Pace // of the body that is being taken
+	code  string      // why it was ended from outside
 }
 
 // Serve accepts connections until the listener closes.
@@ -150,8 +159,9 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		c := &conn{Conn: nc, server: s, reader: http1.NewReader(nc), since: time.Now(), fresh: true,
+		c := &conn{Conn: nc, server: s, since: time.Now(), fresh: true,
 			watch: make(chan *engine.Ticket), arrived: make(chan error, 1)}
+		c.reader = http1.NewReader(c)
 		s.add(c)
 		go c.run()
 	}
@@ -188,7 +198,7 @@
 // of silent connections must crowd out itself.
 func (s *Server) spare(now time.Time) (spare *conn) {
 	useless := func(c *conn) bool {
-		return c.state == closing || c.fresh && (c.state == idle && !c.asks || c.state == reading && now.Sub(c.since) > wholeSoon)
+		return c.state == closing || c.fresh && (c.state == idle && !c.asks || (c.state == reading || c.state == taking) && now.Sub(c.since) > wholeSoon)
 	}
 	for {
 		spare = nil
@@ -250,12 +260,12 @@
 		switch st {
 		case idle:
 			return false
-		case reading, busy:
+		case reading, taking, busy:
 			// It was ended as unused, but a request had begun to come in: taken is taken. It is the last.
 			c.SetReadDeadline(time.Time{})
 		}
 	}
-	if c.fresh = c.fresh && (st == idle || st == reading); !c.fresh {
+	if c.fresh = c.fresh && st < busy; !c.fresh {
 		c.since = time.Now()
 	}
 	c.state, c.asks = st, false
@@ -290,7 +300,10 @@
 	for ; err == nil && code == ""; served++ {
 		c.to(reading)
 		var r *http1.Request
-		if r, err = c.reader.Request(); err != nil {
+		if r, err = c.reader.Head(); err == nil && r.HasBody() {
+			err = c.take(r)
+		}
+		if err != nil {
 			code = c.refuseMessage(err)
 			break
 		}
@@ -305,6 +318,9 @@
 			err = <-c.arrived
 		}
 	}
+	if c.unread > 0 {
+		c.linger(c.unread)
+	}
 	c.Close()
 	close(c.watch)
 	s := c.server
@@ -363,17 +379,15 @@
 		p.status, p.code, p.text = 431, "client-head-too-large", "request line and headers too large"
 	case errors.Is(err, http1.ErrBodyTooLarge):
 		p.status, p.code, p.text = 413, "client-body-too-large", "body too large"
+	case errors.Is(err, http1.ErrExpect):
+		p.status, p.code, p.text = 417, "client-bad-expectation", "an expectation that cannot be met"
 	case c.ended() == "client-slow-request":
 		p.status, p.code, p.text = 408, "client-slow-request", "the request did not come to its end"
 	default:
 		return "" // the connection itself ended
 	}
 	c.answerProblem(&p, true)
-	// Closing with unread bytes would reset the connection, and the answer might be lost with it.
-	c.Conn.(*net.TCPConn).CloseWrite()
-	c.to(closing)
-	c.SetReadDeadline(time.Now().Add(lingerMost))
-	io.CopyN(io.Discard, c.Conn, 4*http1.MaxBody)
+	c.unread = lingerMost
 	return p.code
 }
 
@@ -387,27 +401,31 @@
 	s.figures.active.Add(1)
 	defer s.figures.active.Add(-1)
 	request, message, bad := s.parse(r)
+	if bad == nil && !s.claim(message.ID) {
+		bad = &problem{status: 409, code: "request-id-in-use", text: "X-Request-ID is that of a request in hand"}
+	} else if bad == nil {
+		defer s.free(message.ID)
+	}
 	if bad != nil {
 		s.log.WithFields(logrus.Fields{"code": bad.code, "status": bad.status}).Warn("bad request")
-		c.watch <- nil
 		if class := r.Header.Get(keyClass); class != "" {
 			s.figures.of(class).count(bad.status)
 		}
-		return c.lastOf(r, c.answerProblem(bad, r.Close))
+		c.unwatched(r)
+		return c.lastOf(r, c.answerProblem(bad, ends(r)))
 	}
-
-	if !s.claim(message.ID) {
-		s.log.WithFields(logrus.Fields{"code": "request-id-in-use", "status": 409}).Warn("bad request")
-		c.watch <- nil
-		return c.lastOf(r, c.answerProblem(&problem{status: 409, code: "request-id-in-use", text: "X-Request-ID is that of a request in hand"}, r.Close))
-	}
-	defer s.free(message.ID)
 	counts := s.figures.of(request.Class) // once a request: the figures' lock is not taken for each of its events
 	c.to(busy)
 	ctx, cancel := context.WithCancel(s.halt)
 	defer cancel()
 	ticket := s.engine.Submit(request, cancel)
-	c.watch <- ticket
+	var up *upload
+	if r.Long == nil {
+		c.watch <- ticket
+	} else {
+		up = &upload{conn: c, ticket: ticket, body: r.Long, expect: r.Expect}
+		message.Upload = up
+	}
 	var bill account
 	defer bill.close()
 	for {
@@ -422,22 +440,28 @@
 			if result.Outcome == passhub.Done && result.Stream != nil {
 				ticket.Ended(result.Outcome) // served: what follows is the body's way to the client
 				counts.count(200)
-				return c.lastOf(r, c.relay(result.Stream, r.Close))
+				return c.lastOf(r, c.relay(result.Stream, ends(r)))
 			}
 			if result.Outcome == passhub.Done {
-				err = c.answer(200, 0, result.Body, r.Close)
+				err = c.answer(200, 0, result.Body, ends(r))
 				counts.count(200)
 				ticket.Ended(result.Outcome)
 				return c.lastOf(r, err)
 			}
+			if up != nil && up.failed != nil {
+				ticket.Leave() // the client did not send what it began with: nobody waits for an answer to it
+			}
 			ticket.Ended(result.Outcome)
 		case engine.Refuse:
 			counts.count(503)
-			return c.lastOf(r, c.answer(503, d.RetryAfter, nil, r.Close))
+			return c.lastOf(r, c.answer(503, d.RetryAfter, nil, ends(r)))
 		case engine.Fail:
 			counts.count(502)
-			return c.lastOf(r, c.answer(502, 0, nil, r.Close))
+			return c.lastOf(r, c.answer(502, 0, nil, ends(r)))
 		case engine.Gone:
+			if up != nil && up.failed != nil {
+				return c.refuseMessage(up.failed), up.failed
+			}
 			return "client-gone", nil
 		}
 	}
@@ -486,14 +510,14 @@
 // ready answers the front: 200 while the process serves and wants clients, 503 before, while it is a lame duck and
 // once it stops.
 func (c *conn) ready(r *http1.Request) (code string, err error) {
-	c.watch <- nil
+	c.unwatched(r)
 	status := 503
 	c.server.mu.Lock()
 	if c.server.life.Ready() {
 		status = 200
 	}
 	c.server.mu.Unlock()
-	return c.lastOf(r, c.answer(status, 0, nil, r.Close))
+	return c.lastOf(r, c.answer(status, 0, nil, ends(r)))
 }
 
 // lastOf tells whether the connection ends with this answer.
@@ -504,7 +528,11 @@
 	if err != nil {
 		return "client-write-failed", err
 	}
-	if r.Close {
+	switch unread := r.Long != nil && !r.Long.Ended(); {
+	case unread && (ends(r) || !c.skip(r.Long)):
+		c.unread = lingerLong
+		return "client-body-unread", nil
+	case r.Close:
 		return "client-asked", nil
 	}
 	return "", nil
@@ -566,12 +594,12 @@
 	defer s.mu.Unlock()
 	for c := range s.conns {
 		switch age := now.Sub(c.since); {
-		case c.state == reading && age > requestMost: // also one ended as unused when its first byte came
+		case c.state == reading && age > headMost, c.state == taking && c.pace.Late(s.seconds(now)): // also one ended as unused when its first byte came
 			c.end("client-slow-request")
 		case c.state == writing && age > stuckMost:
 			c.end("client-slow-reader")
 		case c.code != "":
-		case c.state == idle && c.fresh && age > requestMost:
+		case c.state == idle && c.fresh && age > silentMost:
 			c.end("client-silent")
 		case c.state == idle && !c.fresh && age > idleMost:
 			c.end("client-idle")
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -103,6 +103,7 @@
 		}
 		p.Hooks["idle"] = in(idle)
 		p.Hooks["reading"] = in(reading)
+		p.Hooks["taking"] = in(taking)
 		p.Hooks["waiting"] = until(func() bool { return s.waiting > 0 })
 		p.Hooks["open"] = func(string) string {
 			s.mu.Lock()
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -5,18 +5,12 @@
 	"fmt"
 	"io"
 	"strconv"
-	"sync"
 	"time"
 
 	"mulleinrouter/internal/http1"
 	"mulleinrouter/internal/upstream"
 )
 
-// piece is the most of a streamed body that is held at once: memory is one piece a stream, however long the body.
-const piece = 32 << 10
-
-var pieces = sync.Pool{New: func() any { b := make([]byte, piece); return &b }}
-
 // relay passes a served answer's body from the quote server to the client as it comes, each piece written before the
 // next is read: nothing is held back, and nothing is kept but one piece. The head tells the length where the quote
 // server's did, else the body is chunked; a client whose answer is cut can tell: errAnswerCut.
@@ -34,44 +28,29 @@
 	if err := c.push(b); err != nil {
 		return err
 	}
-	buf := pieces.Get().(*[]byte)
-	defer pieces.Put(buf)
+	buf := upstream.Pieces.Get().(*[]byte)
+	defer upstream.Pieces.Put(buf)
 	for {
-		n, rerr := st.Read((*buf)[:piece])
-		if n > 0 {
-			out := (*buf)[:n]
-			if chunked {
-				head := strconv.AppendInt(c.out[:0], int64(n), 16)
-				head = append(head, "\r\n"...)
-				c.out = head
-				if err := c.push(head); err != nil {
-					return err
-				}
-			}
+		n, rerr := st.Read((*buf)[http1.ChunkRoom : http1.ChunkRoom+upstream.PieceSize])
+		ended := errors.Is(rerr, io.EOF)
+		out := (*buf)[http1.ChunkRoom : http1.ChunkRoom+n]
+		if chunked {
+			out = http1.Chunk(*buf, n, ended)
+		}
+		if len(out) > 0 {
 			if err := c.push(out); err != nil {
 				return err
 			}
-			if chunked {
-				if err := c.push([]byte("\r\n")); err != nil {
-					return err
-				}
-			}
 		}
-		if errors.Is(rerr, io.EOF) {
-			break
+		if ended {
+			c.SetWriteDeadline(time.Time{})
+			return nil
 		}
 		if rerr != nil {
 			// The quote server stopped in the middle: the client can tell the answer is not whole when it ends here.
 			return fmt.Errorf("%w: %w", errAnswerCut, rerr)
 		}
 	}
-	if chunked {
-		if err := c.push([]byte("0\r\n\r\n")); err != nil {
-			return err
-		}
-	}
-	c.SetWriteDeadline(time.Time{})
-	return nil
 }
 
 var errAnswerCut = errors.New("the quote server's answer broke off")
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -77,8 +77,9 @@
 	if !s.terms(r.Header.Get(keyTerms), &request) {
 		return fail(400, "request-bad-terms", "X-Call-Terms does not state units, spread and first")
 	}
+	request.Long = r.Long != nil
 	request.Repeat = r.Header.Get(keyRetried) == "1"
-	return request, &upstream.Message{Method: r.Method, Target: r.Target, ID: id, Body: r.Body}, nil
+	return request, &upstream.Message{Method: r.Method, Target: r.Target, ID: id, Body: r.Body}, nil // a long body is joined to it by serve
 }
 
 // terms reads 'units=2,spread=3,first=1'. Terms it does not know are passed over. What the settings do not
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -113,6 +113,21 @@
 	return Verdict{Outcome: passhub.Refused, Again: l.uses > 1, Code: "upstream-write-failed"}
 }
 
+// Early is the end by an answer that came before the last byte of a request was written. The connection is ended: half a
+// request is on it. A server begins on a request with its last byte, but one that answers with an error may have read
+// enough to: only a refusal in the protocol's form proves that nothing ran.
+func (l *Link) Early(a Answer) Verdict {
+	if l.state != Writing {
+		return l.illegal("early")
+	}
+	l.state = Ended
+	if mutated("early-kept") {
+		l.state = Idle
+		return Verdict{Outcome: Outcome(a), Keep: true}
+	}
+	return Verdict{Outcome: Outcome(a), Code: "upstream-early-answer"}
+}
+
 // Written tells that the last byte has been written. From now on it may run.
 func (l *Link) Written() error {
 	if l.state != Writing {
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -3,13 +3,22 @@
 import (
 	"errors"
 	"io"
+	"sync"
 	"time"
+
+	"mulleinrouter/internal/http1"
 )
 
 // StallMost is how long a streamed body may make no progress, in either direction, before it is given up. A body over
 // 64 KiB is timed to its first bytes; after them, only a peer that stops is cut off.
 const StallMost = 10 * time.Second
 
+// PieceSize is the most of a streamed body that is held at once, in either direction.
+const PieceSize = 32 << 10
+
+// Pieces are the buffers of streamed bodies: PieceSize bytes from http1.ChunkRoom on, with room for a chunk's framing.
+var Pieces = sync.Pool{New: func() any { b := make([]byte, http1.ChunkRoom+PieceSize+http1.ChunkEnd); return &b }}
+
 // Stream is the body of a served answer, read from the quote server's connection as it comes.
 type Stream struct {
 	// Length is the body's length as the head tells it; -1: the head does not tell (chunked, or until the close).
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -74,6 +74,7 @@
 type Message struct {
 	Method, Target, ID string
 	Body               []byte
+	Upload             Upload // a body that is too long to be held; Body is then nil
 }
 
 // Result is how an attempt ended, with the body if it was Done.
@@ -117,7 +118,7 @@
 		} else {
 			p.close(c, v.Code, err)
 		}
-		if !v.Again {
+		if !v.Again || m.Upload != nil && m.Upload.Spent() {
 			return Result{Outcome: v.Outcome, Answered: v.Answered, Body: body, Writes: writes}
 		}
 	}
@@ -139,7 +140,22 @@
 	buf := buffers.Get().(*[]byte)
 	defer buffers.Put(buf)
 	*buf = appendRequest((*buf)[:0], m, left)
-	if whole, err := p.write(ctx, c, *buf, m.Method != "GET"); !whole {
+	if m.Upload != nil {
+		answered, err := p.upload(ctx, c, m, *buf, until)
+		if err != nil && answered {
+			a, body, large, err := read(c.reader)
+			if err == nil {
+				return c.Early(a), body, large, nil
+			}
+		}
+		if err != nil {
+			how := uploadTrouble(ctx, err)
+			if how == link.Broke {
+				p.lost(c)
+			}
+			return c.Unwritten(how), nil, nil, err
+		}
+	} else if whole, err := p.write(ctx, c, *buf, m.Method != "GET"); !whole {
 		if ctx.Err() != nil || errors.Is(err, errLeaving) {
 			return c.Unwritten(link.Cancelled), nil, nil, err // nothing ran, and the server is not to blame
 		}
@@ -248,7 +264,9 @@
 	b = append(b, " HTTP/1.1\r\nHost: app.svc\r\n"...)
 	b = http1.AppendField(b, "X-Request-ID", m.ID)
 	b = http1.AppendSeconds(b, "X-Timeout", left.Seconds())
-	if len(m.Body) > 0 || m.Method != "GET" {
+	if m.Upload != nil {
+		b = appendFraming(b, m.Upload)
+	} else if len(m.Body) > 0 || m.Method != "GET" {
 		b = http1.AppendLength(b, len(m.Body))
 	}
 	b = append(b, "\r\n"...)
--- a/passhub/attempts.go
+++ b/passhub/attempts.go
@@ -82,9 +82,9 @@
 }
 
 // again decides what follows an attempt that was not served. What may have run is sent again if harmless.
-func (g *Gateway) again(r *request, proven bool) {
+func (g *Gateway) again(r *request, proven, spent bool) {
 	late := g.now > r.aimAt && r.class.LateWorth == 0 || r.dueAt-g.now <= 2*g.s.AnswerSlack
-	if (r.class.Effect == Safe || !r.mayHaveRun()) && !late && len(r.attempts) < g.s.MaxAttempts {
+	if (r.class.Effect == Safe || !r.mayHaveRun()) && !late && !spent && len(r.attempts) < g.s.MaxAttempts {
 		if b := g.pick(r); b != nil && g.retries.Again(g.now, proven, len(g.held) > 0) {
 			g.start(r, b)
 			return
@@ -145,7 +145,7 @@
 		g.end(r)
 		g.cancel(r)
 	default:
-		g.again(r, proven)
+		g.again(r, proven, e.Spent)
 	}
 	if r.answered && r.out == 0 {
 		delete(g.requests, r.ID)
--- /dev/null
+++ b/passhub/bodies.go
@@ -0,0 +1,33 @@
+package passhub
+
+import "math"
+
+// Uploading tells that the body of a request whose attempt has just been decided on is on its way up. Until Arrived,
+// the attempt is neither slow nor late, and its backend owes it no answer: how long a body takes is its client's doing.
+// It is not part of the simulator's policy: there, requests have no bodies.
+func (g *Gateway) Uploading(id uint64) {
+	if a := g.lastAttempt(id); a != nil {
+		a.sent = math.Inf(1)
+		if a.b.out == 1 {
+			a.b.waiting = 0
+		}
+	}
+}
+
+// Arrived tells that the body has gone out whole: from now on the backend works on the request.
+func (g *Gateway) Arrived(now Seconds, id uint64) {
+	if a := g.lastAttempt(id); a != nil {
+		a.sent = now
+		if a.b.waiting == 0 {
+			a.b.waiting = now
+		}
+	}
+}
+
+func (g *Gateway) lastAttempt(id uint64) *attempt {
+	r := g.requests[id]
+	if r == nil || len(r.attempts) == 0 || r.attempts[len(r.attempts)-1].ended {
+		return nil
+	}
+	return &r.attempts[len(r.attempts)-1]
+}
--- a/passhub/passhub.go
+++ b/passhub/passhub.go
@@ -136,6 +136,7 @@
 	Doors    int     // gateways this customer's requests may come through
 	Repeat   bool    // marked by the client as a repeat
 	Terms    *Terms  // the customer's own; nil: those of Plan in the settings
+	Long     bool    // its body is passed on as it comes: once a byte of it has gone out, it cannot be sent again
 }
 
 // ClientGone tells that a request has ended without an answer.
@@ -171,6 +172,7 @@
 	Outcome Outcome
 	Took    Seconds
 	Settled bool    // the request has its answer
+	Spent   bool    // the request cannot be sent again: its body has gone
 	Units   float64 // true units, where they are settled afterwards; else 0
 }
 
