Pass header fields and trailers on both ways; answer HEAD and HTTP/1.0 as their forms ask

Change: http1.AppendFields passes what is meant for the other end by a deny-list of what is per hop, decides or reports; trailers are read, bounded, checked and passed on; controls in values are refused.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -250,7 +250,7 @@
 	if _, err := conn.Write(b); err != nil {
 		return nil, err
 	}
-	a, err := r.Response()
+	a, err := r.Response(false)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -12,7 +12,7 @@
 //	NAME chunk T   writes T as one line in a chunk of a chunked body
 //	NAME sends N K writes bytes K to N of a body in which each byte tells where it stands
 //	NAME gets N K  reads as many, which must be these
-//	NAME whole N   reads a chunked body, which must be bytes 0 to N
+//	NAME whole N   reads a chunked body, which must be bytes 0 to N; NAME chunks N leaves its trailer unread
 //	NAME accept    takes the next connection to a listener; the first is taken by itself
 //	NAME eof       the other side must end the connection
 //	NAME close     ends it; NAME reset does so with a reset; NAME stop ends the listener
@@ -188,13 +188,15 @@
 			return "", fmt.Errorf("not these bytes: %w", err)
 		}
 		return line, nil
-	case "whole":
+	case "whole", "chunks":
 		from, to := span(plain + " 0")
 		b, err := io.ReadAll(httputil.NewChunkedReader(c.r))
 		if err != nil || !bytes.Equal(b, Body(from, to)) {
 			return "", fmt.Errorf("not these bytes: %w", err)
 		}
-		_, err = c.r.ReadString('\n') // the empty line behind the last chunk
+		if verb == "whole" {
+			_, err = c.r.ReadString('\n') // the empty line behind the last chunk
+		}
 		return line, err
 	case "close", "reset":
 		delete(p.conns, name)
--- a/internal/http1/fuzz_test.go
+++ b/internal/http1/fuzz_test.go
@@ -54,7 +54,7 @@
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
 		r := NewReader(bytes.NewReader(b))
-		got, err := r.Response()
+		got, err := r.Response(false)
 		if err != nil {
 			return
 		}
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -68,10 +68,11 @@
 	Method, Target string
 	Header         textproto.MIMEHeader
 	Body           []byte
-	Long           *Body // a body over MaxBody: it is still on the connection, to be read as it comes; Body is then nil
-	Close          bool  // the connection ends with the answer
-	Old            bool  // HTTP/1.0: it knows no chunks
-	Expect         bool  // the client waits for 100 Continue before it sends the body
+	Trailer        textproto.MIMEHeader // behind a Body that came in chunks
+	Long           *Body                // a body over MaxBody: it is still on the connection, to be read as it comes; Body is then nil
+	Close          bool                 // the connection ends with the answer
+	Old            bool                 // HTTP/1.0: it knows no chunks
+	Expect         bool                 // the client waits for 100 Continue before it sends the body
 	framing
 }
 
@@ -169,7 +170,7 @@
 		return err
 	}
 	if len(begin) <= MaxBody {
-		r.Body = begin
+		r.Body, r.Trailer = begin, rest.trailer
 		return nil
 	}
 	r.Long = &Body{Length: -1, begin: begin, rest: rest, left: MostBody}
@@ -180,12 +181,13 @@
 type Response struct {
 	Status int
 	Header textproto.MIMEHeader
-	Close  bool // the connection ends with this answer
+	Told   int64 // of an answer to HEAD: the length that it tells of a body that does not come
+	Close  bool  // the connection ends with this answer
 	framing
 }
 
-// Response reads the head of the next final answer to a request that was not a HEAD.
-func (m *Reader) Response() (*Response, error) {
+// Response reads the head of the next final answer. Bodiless: it is one to HEAD, whose length is that of another's body.
+func (m *Reader) Response(bodiless bool) (*Response, error) {
 	for range mostInterim + 1 {
 		m.limit.N = MaxHead - int64(m.buf.Buffered())
 		line, err := m.startLine()
@@ -206,12 +208,17 @@
 			continue // interim, 100 Continue and its like
 		}
 		a.Close = closes(a.Header, proto)
-		if status != 204 && status != 304 {
-			if a.framing, err = framingOf(a.Header, math.MaxInt64); err != nil {
-				return nil, err
-			}
-			a.Close = a.Close || a.untilClose
+		if status == 204 || status == 304 {
+			return a, nil
+		}
+		if a.framing, err = framingOf(a.Header, math.MaxInt64); err != nil {
+			return nil, err
+		}
+		if bodiless {
+			a.Told, a.framing = a.length, framing{}
+			return a, nil
 		}
+		a.Close = a.Close || a.untilClose
 		return a, nil
 	}
 	return nil, fmt.Errorf("%w: interim answers without end", ErrStartLine)
@@ -229,16 +236,24 @@
 // Body reads the whole body of an answer, of at most MaxBody.
 func (m *Reader) Body(a *Response) ([]byte, error) { return m.body(a.framing) }
 
-// Stream returns a body to be read as it comes. Whoever reads it is to bound what is kept.
-func (m *Reader) Stream(a *Response) io.Reader {
+// Stream returns an answer's body, to be read as it comes. Whoever reads it is to bound what is kept.
+func (m *Reader) Stream(a *Response) *Body {
 	m.limit.N = math.MaxInt64
 	switch {
 	case a.chunked:
-		return &chunks{m: m}
+		return &Body{Length: -1, rest: &chunks{m: m}, left: math.MaxInt64}
 	case a.untilClose:
-		return m.buf
+		return &Body{Length: -1, rest: m.buf, left: math.MaxInt64}
 	}
-	return io.LimitReader(m.buf, a.length)
+	return &Body{Length: a.length, rest: io.LimitReader(m.buf, a.length), left: a.length}
+}
+
+// Trailer are the fields behind a chunked body, once it has been read to its end; nil: there are none.
+func (b *Body) Trailer() textproto.MIMEHeader {
+	if c, ok := b.rest.(*chunks); ok {
+		return c.trailer
+	}
+	return nil
 }
 
 // startLine reads a start line. Empty lines before it are passed over, as RFC 9112 asks.
@@ -266,8 +281,8 @@
 	case err != nil:
 		return nil, m.tooLarge(err)
 	}
-	for key := range h { // textproto lets a name of several words pass
-		if strings.IndexByte(key, ' ') >= 0 {
+	for key, values := range h { // textproto lets a name of several words pass, and controls in a value
+		if strings.IndexByte(key, ' ') >= 0 || !clean(strings.Join(values, "")) {
 			return nil, fmt.Errorf("%w: %.80q", ErrHeader, key)
 		}
 	}
@@ -347,6 +362,7 @@
 	left       uint64
 	over, data int64 // bytes of framing and of content so far
 	begun      bool
+	trailer    textproto.MIMEHeader
 	err        error
 }
 
@@ -385,10 +401,19 @@
 	if c.left > 0 {
 		return nil
 	}
-	for { // the trailer says nothing that matters here
-		if line, err := c.line(); err != nil || len(line) == 0 {
+	for room := MaxHead; ; { // the trailer is held: a peer could else send one without end
+		line, err := c.line()
+		if err != nil || len(line) == 0 {
 			return cmp.Or(err, io.EOF)
 		}
+		name, value, ok := strings.Cut(string(line), ":")
+		if room -= len(line); room < 0 || !ok || !isName(name) || !clean(value) {
+			return fmt.Errorf("%w: trailer %.40q", ErrFraming, line)
+		}
+		if c.trailer == nil {
+			c.trailer = textproto.MIMEHeader{}
+		}
+		c.trailer.Add(name, strings.TrimSpace(value))
 	}
 }
 
@@ -453,12 +478,16 @@
 // AppendHead begins an answer: the status line and the length of the body. Headers may follow; an
 // empty line ends them.
 func AppendHead(b []byte, status, length int) []byte {
+	return AppendLength(AppendStatus(b, status), length)
+}
+
+// AppendStatus is an answer's status line alone.
+func AppendStatus(b []byte, status int) []byte {
 	b = append(b, "HTTP/1.1 "...)
 	b = strconv.AppendInt(b, int64(status), 10)
 	b = append(b, ' ')
 	b = append(b, reasons[status]...)
-	b = append(b, "\r\n"...)
-	return AppendLength(b, length)
+	return append(b, "\r\n"...)
 }
 
 // AppendLength adds the length of the body.
@@ -484,21 +513,18 @@
 	return append(b, "\r\n"...)
 }
 
-// ChunkRoom is what Chunk needs before a piece of a body, and ChunkEnd behind it.
+// ChunkRoom is what Chunk needs before a piece of a body, and ChunkEnd behind it, a last chunk without a trailer included.
 const ChunkRoom, ChunkEnd = 10, 7
 
-// Chunk makes one chunk, in place, of the n bytes that stand at ChunkRoom in b, so that a single write sends it; last: the
-// body ends with it, without a trailer. Without bytes and not the last there is nothing to send.
-func Chunk(b []byte, n int, last bool) []byte {
-	begin, end := ChunkRoom, ChunkRoom+n
-	if n > 0 {
-		var size [ChunkRoom]byte
-		head := append(strconv.AppendInt(size[:0], int64(n), 16), "\r\n"...)
-		begin -= copy(b[ChunkRoom-len(head):], head)
-		end += copy(b[end:], "\r\n")
-	}
-	if last {
-		end += copy(b[end:], "0\r\n\r\n")
+// Chunk makes one chunk, in place, of the n bytes that stand at ChunkRoom in b, so that a single write sends it. Without
+// bytes there is nothing to send: an empty chunk would be the last.
+func Chunk(b []byte, n int) []byte {
+	if n == 0 {
+		return nil
 	}
-	return b[begin:end]
+	var size [ChunkRoom]byte
+	head := append(strconv.AppendInt(size[:0], int64(n), 16), "\r\n"...)
+	begin := ChunkRoom - len(head)
+	copy(b[begin:], head)
+	return append(b[begin:ChunkRoom+n], "\r\n"...)
 }
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -34,7 +34,10 @@
 		{"length", "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcd",
 			&Request{Method: "POST", Target: "/", Header: textproto.MIMEHeader{"Content-Length": {"3"}}, Body: []byte("abc")}, nil},
 		{"chunks and a trailer", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nab\r\n1\r\nc\r\n0\r\nT: u\r\n\r\n",
-			&Request{Method: "POST", Target: "/", Header: textproto.MIMEHeader{"Transfer-Encoding": {"chunked"}}, Body: []byte("abc")}, nil},
+			&Request{Method: "POST", Target: "/", Header: textproto.MIMEHeader{"Transfer-Encoding": {"chunked"}}, Body: []byte("abc"), Trailer: textproto.MIMEHeader{"T": {"u"}}}, nil},
+		{"a trailer that is none", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nno colon\r\n\r\n", nil, ErrFraming},
+		{"an endless trailer", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + strings.Repeat("A: b\r\n", MaxHead), nil, ErrFraming},
+		{"a control in a value", "GET / HTTP/1.1\r\nA: b\x01c\r\n\r\n", nil, ErrHeader},
 		{"close", "GET / HTTP/1.1\r\nConnection: x, Close\r\n\r\n",
 			&Request{Method: "GET", Target: "/", Header: textproto.MIMEHeader{"Connection": {"x, Close"}}, Close: true}, nil},
 		{"1.0", "GET / HTTP/1.0\r\n\r\n", &Request{Method: "GET", Target: "/", Header: textproto.MIMEHeader{}, Close: true}, nil},
@@ -101,10 +104,10 @@
 // Interim answers are passed over, but not without end.
 func TestInterimAnswersAreBounded(t *testing.T) {
 	const interim, final = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n"
-	if a, err := NewReader(strings.NewReader(strings.Repeat(interim, mostInterim) + final)).Response(); err != nil || a.Status != 200 {
+	if a, err := NewReader(strings.NewReader(strings.Repeat(interim, mostInterim) + final)).Response(false); err != nil || a.Status != 200 {
 		t.Errorf("after %d: %+v, %v", mostInterim, a, err)
 	}
-	if a, err := NewReader(strings.NewReader(strings.Repeat(interim, mostInterim+1) + final)).Response(); !errors.Is(err, ErrStartLine) {
+	if a, err := NewReader(strings.NewReader(strings.Repeat(interim, mostInterim+1) + final)).Response(false); !errors.Is(err, ErrStartLine) {
 		t.Errorf("after one more: %+v, %v", a, err)
 	}
 }
@@ -126,7 +129,7 @@
 			}
 		}
 		m := NewReader(strings.NewReader(in))
-		if a, err := m.Response(); err == nil {
+		if a, err := m.Response(false); err == nil {
 			if body, err := m.Body(a); err == nil && len(body) > MaxBody || a.Status < 200 {
 				t.Errorf("passed status %d with %d bytes", a.Status, len(body))
 			}
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -109,6 +110,9 @@
 		}
 	}
 	n, err = u.body.Read(p)
+	if errors.Is(err, io.EOF) && http1.Misplaced(u.body.Trailer(), deciding) {
+		err = fmt.Errorf("%w: a trailer states what belongs in the head", http1.ErrFraming) // the last chunk has not gone out
+	}
 	if err == nil {
 		return n, nil
 	}
@@ -123,6 +127,9 @@
 // Length is what the client's head tells.
 func (u *upload) Length() int64 { return u.body.Length }
 
+// AppendLast ends a chunked one, with the client's trailer.
+func (u *upload) AppendLast(b []byte) []byte { return http1.AppendLast(b, u.body.Trailer(), deciding) }
+
 // Spent tells whether something of it has been read.
 func (u *upload) Spent() bool { return u.spent }
 
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -17,13 +17,14 @@
 // conn is one client's connection.
 type conn struct {
 	net.Conn
-	server  *Server
-	reader  *http1.Reader
-	out     []byte
-	unread  time.Duration       // something that was sent is not read: for so long the connection must not end under it
-	paced   bool                // a body is being taken: only whoever takes it looks at this
-	watch   chan *engine.Ticket // the request in hand, for the watcher
-	arrived chan error          // the watcher's word: the next request begins, or the connection is over
+	server        *Server
+	reader        *http1.Reader
+	out           []byte
+	old, bodiless bool                // the request in hand came by HTTP/1.0; is a HEAD, whose answer has no body
+	unread        time.Duration       // something that was sent is not read: for so long the connection must not end under it
+	paced         bool                // a body is being taken: only whoever takes it looks at this
+	watch         chan *engine.Ticket // the request in hand, for the watcher
+	arrived       chan error          // the watcher's word: the next request begins, or the connection is over
 
 	life client.Conn // guarded by the server's mutex
 }
@@ -79,8 +80,11 @@
 	for ; err == nil && code == ""; served++ {
 		c.to(client.Head)
 		var r *http1.Request
-		if r, err = c.reader.Head(); err == nil && r.HasBody() {
-			err = c.take(r)
+		if r, err = c.reader.Head(); err == nil {
+			c.old, c.bodiless = r.Old, r.Method == "HEAD"
+			if r.HasBody() {
+				err = c.take(r)
+			}
 		}
 		if err != nil {
 			code = c.refuseMessage(err)
@@ -188,6 +192,17 @@
 	return "", nil
 }
 
+// pass passes on a quote server's whole answer. One to HEAD tells of a body that does not come.
+func (c *conn) pass(head *http1.Response, body []byte, last bool) error {
+	b := http1.AppendStatus(c.out[:0], 200)
+	if !c.bodiless {
+		b = http1.AppendLength(b, len(body))
+	} else if length := head.Header.Get("Content-Length"); length != "" {
+		b = http1.AppendField(b, "Content-Length", length)
+	}
+	return c.send(http1.AppendFields(b, head.Header, reports), body, last)
+}
+
 // answer writes a whole answer at once.
 func (c *conn) answer(status int, retryAfter passhub.Seconds, body []byte, last bool) error {
 	b := http1.AppendHead(c.out[:0], status, len(body))
@@ -208,7 +223,9 @@
 }
 
 func (c *conn) send(b, body []byte, last bool) error {
-	b = append(c.endHead(b, last), body...)
+	if b = c.endHead(b, last); !c.bodiless {
+		b = append(b, body...)
+	}
 	if c.out = b; cap(b) > 8<<10 {
 		c.out = nil // guards against many connections that each keep the room of a large answer
 	}
@@ -221,7 +238,8 @@
 func (c *conn) endHead(b []byte, last bool) []byte {
 	if last || c.last() {
 		b = http1.AppendField(b, "Connection", "close")
+	} else if c.old {
+		b = http1.AppendField(b, "Connection", "keep-alive")
 	}
 	return append(b, "\r\n"...)
 }
-
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -178,10 +178,11 @@
 			if result.Outcome == passhub.Done && result.Stream != nil {
 				ticket.Ended(result.Outcome) // served: what follows is the body's way to the client
 				counts.count(200)
-				return c.lastOf(r, c.relay(result.Stream, ends(r)))
+				r.Close = r.Close || r.Old && result.Stream.Length < 0
+				return c.lastOf(r, c.relay(result.Head, result.Stream, ends(r)))
 			}
 			if result.Outcome == passhub.Done {
-				err = c.answer(200, 0, result.Body, ends(r))
+				err = c.pass(result.Head, result.Body, ends(r))
 				counts.count(200)
 				ticket.Ended(result.Outcome)
 				return c.lastOf(r, err)
@@ -327,4 +328,3 @@
 	}
 	return len(s.conns) == 0
 }
-
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -15,15 +15,16 @@
 // relay passes a served answer's body from the quote server to the client as it comes, each piece written before the
 // next is read: nothing is held back, and nothing is kept but one piece. The head tells the length where the quote
 // server's did, else the body is chunked; a client whose answer is cut can tell: errAnswerCut.
-func (c *conn) relay(st *upstream.Stream, last bool) error {
+func (c *conn) relay(head *http1.Response, st *upstream.Stream, last bool) error {
 	defer st.Close()
-	b := append(c.out[:0], "HTTP/1.1 200 OK\r\n"...)
-	chunked := st.Length < 0
+	b := http1.AppendStatus(c.out[:0], 200)
+	chunked := st.Length < 0 && !c.old
 	if chunked {
 		b = http1.AppendField(b, "Transfer-Encoding", "chunked")
-	} else {
+	} else if st.Length >= 0 {
 		b = http1.AppendField(b, "Content-Length", strconv.FormatInt(st.Length, 10))
-	}
+	} // else the body ends with the connection: HTTP/1.0 knows no chunks
+	b = http1.AppendFields(b, head.Header, reports)
 	b = c.endHead(b, last)
 	c.out = b
 	if err := c.push(b); err != nil {
@@ -36,7 +37,9 @@
 		ended := errors.Is(rerr, io.EOF)
 		out := (*buf)[http1.ChunkRoom : http1.ChunkRoom+n]
 		if chunked {
-			out = http1.Chunk(*buf, n, ended)
+			if out = http1.Chunk(*buf, n); ended {
+				out = http1.AppendLast(out, st.Trailer(), reports)
+			}
 		}
 		if len(out) > 0 {
 			if err := c.push(out); err != nil {
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -25,6 +25,12 @@
 	transit = 10 * time.Millisecond
 )
 
+// deciding are the fields that an ingress decides by, or writes itself: they are not passed on, and no trailer may have them.
+var deciding = map[string]bool{keyID: true, keyClass: true, keyPlan: true, keyTimeout: true, keyTerms: true, keyRetried: true}
+
+// reports are the fields in which quote servers tell the ingress something: clients do not get them.
+var reports = map[string]bool{"X-Server-Load": true, "X-Not-Processed": true}
+
 // problem is a request that cannot be handed to the module: the client's fault.
 type problem struct {
 	status     int
@@ -61,7 +67,7 @@
 	if !known {
 		return fail(400, "request-unknown-class", "X-Priority-Class names no class")
 	}
-	if r.Method != method {
+	if r.Method != method && (method != "GET" || r.Method != "HEAD") {
 		_, _, bad = fail(405, "request-wrong-method", "this class goes by "+method)
 		bad.allow = method
 		return request, nil, bad
@@ -77,9 +83,12 @@
 	if !s.terms(r.Header.Get(keyTerms), &request) {
 		return fail(400, "request-bad-terms", "X-Call-Terms does not state units, spread and first")
 	}
+	if http1.Misplaced(r.Trailer, deciding) {
+		return fail(400, "request-bad-trailer", "a trailer states what belongs in the head")
+	}
 	request.Long = r.Long != nil
 	request.Repeat = r.Header.Get(keyRetried) == "1"
-	return request, &upstream.Message{Method: r.Method, Target: r.Target, ID: id, Body: r.Body}, nil // a long body is joined to it by serve
+	return request, &upstream.Message{Method: r.Method, Target: r.Target, ID: id, Body: r.Body, Trailer: r.Trailer, Fields: http1.AppendFields(nil, r.Header, deciding)}, nil // serve adds a long body
 }
 
 // terms reads 'units=2,spread=3,first=1'. Terms it does not know are passed over. What the settings do not
--- a/internal/ingress/room.go
+++ b/internal/ingress/room.go
@@ -99,4 +99,3 @@
 		s.room.Broadcast() // one that was new a moment ago may be slow by now
 	}
 }
-
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net/textproto"
 	"sync"
 	"time"
 
@@ -26,7 +27,7 @@
 
 	pool *Pool
 	c    *conn
-	body io.Reader
+	body *http1.Body
 	keep bool // the connection may serve again once the body is read to its end
 	end  bool // read to its end
 	done bool
@@ -42,6 +43,9 @@
 	return n, err
 }
 
+// Trailer are the fields behind a chunked body, once it has been read to its end; nil: there are none.
+func (s *Stream) Trailer() textproto.MIMEHeader { return s.body.Trailer() }
+
 // Close gives the connection back where the body was read to its end and nothing followed it; else it ends it.
 func (s *Stream) Close() {
 	if s.done {
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -19,6 +19,8 @@
 	Read(p []byte) (int, error)
 	// Length is what the client's head tells; -1: not told, it goes out chunked.
 	Length() int64
+	// AppendLast ends a chunked one, with the client's trailer.
+	AppendLast(b []byte) []byte
 	// Spent tells whether something of it has been read: it cannot be sent to another server.
 	Spent() bool
 	// Arrived tells that it has gone out whole.
@@ -100,7 +102,9 @@
 		}
 		out := (*buf)[http1.ChunkRoom : http1.ChunkRoom+n]
 		if chunked {
-			out = http1.Chunk(*buf, n, err != nil)
+			if out = http1.Chunk(*buf, n); err != nil {
+				out = u.AppendLast(out)
+			}
 		}
 		if len(out) > 0 {
 			c.SetWriteDeadline(time.Now().Add(StallMost))
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -8,6 +8,8 @@
 	"errors"
 	"fmt"
 	"net"
+	"net/textproto"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -73,15 +75,21 @@
 // Message is a request as it goes to a backend.
 type Message struct {
 	Method, Target, ID string
+	Fields             []byte // further fields of its head, as they are written
 	Body               []byte
-	Upload             Upload // a body that is too long to be held; Body is then nil
+	Trailer            textproto.MIMEHeader // behind Body, which then goes out in one chunk; nil: none
+	Upload             Upload               // a body that is too long to be held; Body is then nil
 }
 
+// safe tells whether its method is one that may be repeated, and has no body as a rule.
+func (m *Message) safe() bool { return m.Method == "GET" || m.Method == "HEAD" }
+
 // Result is how an attempt ended, with the body if it was Done.
 type Result struct {
 	Outcome  passhub.Outcome
-	Answered bool // a whole answer came after the request had been written whole: it had arrived
-	Writes   int  // times the request was written whole, to one connection after another
+	Answered bool            // a whole answer came after the request had been written whole: it had arrived
+	Writes   int             // times the request was written whole, to one connection after another
+	Head     *http1.Response // of the answer; nil: none came
 	// Stream is the body of a served answer that is too long to be read whole (Body is then nil): it is to be read as
 	// it comes and closed. Nil: Body is the whole of it.
 	Stream *Stream
@@ -103,15 +111,12 @@
 		} else if err != nil {
 			return Result{Outcome: passhub.Refused, Writes: writes}
 		}
-		v, body, large, err := p.attempt(ctx, c, m, until, &writes)
+		v, head, body, err := p.attempt(ctx, c, m, until, &writes)
 		err = cmp.Or(err, v.Err)
-		if large != nil && v.Outcome == passhub.Done {
-			_, length := large.Large()
-			s := &Stream{pool: p, c: c, keep: v.Keep && !large.Close, Length: length, body: c.reader.Stream(large)}
-			return Result{Outcome: v.Outcome, Answered: v.Answered, Writes: writes, Stream: s}
-		}
-		if large != nil {
-			v.Keep = false // its body is still on the connection
+		if streams(head) {
+			s := &Stream{pool: p, c: c, keep: v.Keep && !head.Close, body: c.reader.Stream(head)}
+			s.Length = s.body.Length
+			return Result{Outcome: v.Outcome, Answered: v.Answered, Writes: writes, Head: head, Stream: s}
 		}
 		if v.Keep {
 			p.put(c)
@@ -119,14 +124,14 @@
 			p.close(c, v.Code, err)
 		}
 		if !v.Again || m.Upload != nil && m.Upload.Spent() {
-			return Result{Outcome: v.Outcome, Answered: v.Answered, Body: body, Writes: writes}
+			return Result{Outcome: v.Outcome, Answered: v.Answered, Head: head, Body: body, Writes: writes}
 		}
 	}
 }
 
 // attempt is the life of a request on a connection: written, answered. What each end of it proves, and whether the
 // connection may be used again, is the link's to say.
-func (p *Pool) attempt(ctx context.Context, c *conn, m *Message, until time.Time, writes *int) (v link.Verdict, body []byte, large *http1.Response, err error) {
+func (p *Pool) attempt(ctx context.Context, c *conn, m *Message, until time.Time, writes *int) (v link.Verdict, head *http1.Response, body []byte, err error) {
 	if err := c.Begin(); err != nil {
 		return c.Unwritten(link.Broke), nil, nil, err
 	}
@@ -143,9 +148,9 @@
 	if m.Upload != nil {
 		answered, err := p.upload(ctx, c, m, *buf, until)
 		if err != nil && answered {
-			a, body, large, err := read(c.reader)
+			a, head, body, err := read(c.reader, false)
 			if err == nil {
-				return c.Early(a), body, large, nil
+				return c.Early(a), head, body, nil
 			}
 		}
 		if err != nil {
@@ -155,7 +160,7 @@
 			}
 			return c.Unwritten(how), nil, nil, err
 		}
-	} else if whole, err := p.write(ctx, c, *buf, m.Method != "GET"); !whole {
+	} else if whole, err := p.write(ctx, c, *buf, !m.safe()); !whole {
 		if ctx.Err() != nil || errors.Is(err, errLeaving) {
 			return c.Unwritten(link.Cancelled), nil, nil, err // nothing ran, and the server is not to blame
 		}
@@ -165,7 +170,7 @@
 	c.Written()
 	*writes++
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(longAgo) })
-	a, body, large, err := read(c.reader)
+	a, head, body, err := read(c.reader, m.Method == "HEAD")
 	cancelled := !stop() // then the deadline may be changed at any time from now on
 	if err != nil {
 		how := trouble(ctx, err)
@@ -175,7 +180,7 @@
 		return c.Unanswered(how), nil, nil, err
 	}
 	c.answered = p.now()
-	return c.Answered(a, cancelled), body, large, nil
+	return c.Answered(a, cancelled), head, body, nil
 }
 
 var (
@@ -234,24 +239,28 @@
 	return link.Broke
 }
 
-// read takes the answer, and its body if it is the client's.
-func read(r *http1.Reader) (a link.Answer, body []byte, large *http1.Response, err error) {
-	head, err := r.Response()
-	if err != nil {
+// streams tells whether an answer's body is passed on as it comes, by whoever answers the client.
+func streams(head *http1.Response) bool {
+	if head == nil || head.Status != 200 {
+		return false
+	}
+	long, _ := head.Large()
+	return long
+}
+
+// read takes the answer, and its body if it is the client's and is not streamed. Without an error there is a head.
+func read(r *http1.Reader, bodiless bool) (a link.Answer, head *http1.Response, body []byte, err error) {
+	if head, err = r.Response(bodiless); err != nil {
 		return a, nil, nil, err
 	}
-	if long, _ := head.Large(); long && head.Status == 200 {
-		// Served: the body is streamed by whoever answers the client, and what follows it is looked at then.
-		return link.Answer{Status: head.Status, Close: head.Close}, nil, head, nil
+	if streams(head) { // what follows its body is looked at once that has been read
+		return link.Answer{Status: head.Status, Close: head.Close}, head, nil, nil
 	}
 	if body, err = r.Body(head); err != nil {
 		return a, nil, nil, err
 	}
 	a = link.Answer{Status: head.Status, NotProcessed: head.Header.Get("X-Not-Processed") == "1", Close: head.Close, More: r.Buffered() > 0}
-	if link.Outcome(a) != passhub.Done {
-		body = nil
-	}
-	return a, body, nil, nil
+	return a, head, body, nil
 }
 
 var buffers = sync.Pool{New: func() any { b := make([]byte, 0, 1024); return &b }}
@@ -264,9 +273,18 @@
 	b = append(b, " HTTP/1.1\r\nHost: app.svc\r\n"...)
 	b = http1.AppendField(b, "X-Request-ID", m.ID)
 	b = http1.AppendSeconds(b, "X-Timeout", left.Seconds())
-	if m.Upload != nil {
-		b = appendFraming(b, m.Upload)
-	} else if len(m.Body) > 0 || m.Method != "GET" {
+	b = append(b, m.Fields...)
+	switch {
+	case m.Upload != nil:
+		return append(appendFraming(b, m.Upload), "\r\n"...)
+	case len(m.Trailer) > 0:
+		b = append(b, "Transfer-Encoding: chunked\r\n\r\n"...)
+		if len(m.Body) > 0 {
+			b = append(strconv.AppendInt(b, int64(len(m.Body)), 16), "\r\n"...)
+			b = append(append(b, m.Body...), "\r\n"...)
+		}
+		return http1.AppendLast(b, m.Trailer, nil)
+	case len(m.Body) > 0 || !m.safe():
 		b = http1.AppendLength(b, len(m.Body))
 	}
 	b = append(b, "\r\n"...)
