Make both processes of an upgrade one ingress, by parts agreed on in a shared folder

Cause: each process took the whole of this ingress's part of quotas and ceilings, and the newer one began with full stores (customer() gives the whole burst, Split.Own fills in both, reports of both make k larger than doors).

--- a/cmd/mulleinrouter/main_test.go
+++ b/cmd/mulleinrouter/main_test.go
@@ -58,49 +58,11 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	cmd := exec.Command(program)
-	cmd.Env = append(os.Environ(), "NODE_CONFIG="+path)
-	stderr, err := cmd.StderrPipe()
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	lines := make(chan string, 10000)
-	go func() {
-		for s := bufio.NewScanner(stderr); s.Scan(); {
-			lines <- s.Text()
-		}
-		close(lines)
-	}()
-	ended := false
-	t.Cleanup(func() {
-		if !ended {
-			cmd.Process.Kill()
-			cmd.Wait()
-		}
-	})
-	var seen []string // and not yet asked for
-	// until waits for the program to have written a line with the words. Each line is found once.
-	until := func(words string) string {
-		for i := 0; ; i++ {
-			if i == len(seen) {
-				line, more := <-lines
-				if !more {
-					return "the log ended without it: " + strings.Join(seen, "\n")
-				}
-				seen = append(seen, line)
-			}
-			if line := seen[i]; strings.Contains(line, words) {
-				seen = slices.Delete(seen, i, i+1)
-				return line
-			}
-		}
-	}
+	run := launch(t, "NODE_CONFIG="+path, "TMPDIR="+t.TempDir())
+	until := run.until
 	listen := regexp.MustCompile(`listen="([^"]+)"`).FindStringSubmatch(until("code=process-started"))
 	if listen == nil {
-		t.Fatalf("no address in %q", seen)
+		t.Fatalf("no address in %q", run.seen)
 	}
 	p.Target = listen[1]
 	p.Hooks["log"] = func(words string) string {
@@ -120,21 +82,75 @@
 		return word
 	}
 	p.Hooks["hup"] = func(string) string {
-		cmd.Process.Signal(syscall.SIGHUP)
+		run.cmd.Process.Signal(syscall.SIGHUP)
 		return ""
 	}
 	p.Hooks["term"] = func(string) string {
-		cmd.Process.Signal(syscall.SIGTERM)
+		run.cmd.Process.Signal(syscall.SIGTERM)
 		return ""
 	}
-	p.Hooks["exit"] = func(string) string {
-		ended = true
-		for range lines { // all of it is written before the program is waited for
+	p.Hooks["exit"] = func(string) string { return fmt.Sprint(run.exit()) }
+	return p
+}
+
+// running is the program, running.
+type running struct {
+	cmd   *exec.Cmd
+	lines chan string
+	seen  []string // and not yet asked for
+	ended bool
+}
+
+// launch runs the program until the test ends.
+func launch(t *testing.T, env ...string) *running {
+	r := &running{cmd: exec.Command(program), lines: make(chan string, 10000)}
+	r.cmd.Env = append(os.Environ(), env...)
+	stderr, err := r.cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := r.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for s := bufio.NewScanner(stderr); s.Scan(); {
+			r.lines <- s.Text()
+		}
+		close(r.lines)
+	}()
+	t.Cleanup(func() {
+		if !r.ended {
+			r.cmd.Process.Kill()
+			r.cmd.Wait()
+		}
+	})
+	return r
+}
+
+// until waits for the program to have written a line with the words. Each line is found once.
+func (r *running) until(words string) string {
+	for i := 0; ; i++ {
+		if i == len(r.seen) {
+			line, more := <-r.lines
+			if !more {
+				return "the log ended without it: " + strings.Join(r.seen, "\n")
+			}
+			r.seen = append(r.seen, line)
+		}
+		if line := r.seen[i]; strings.Contains(line, words) {
+			r.seen = slices.Delete(r.seen, i, i+1)
+			return line
 		}
-		cmd.Wait()
-		return fmt.Sprint(cmd.ProcessState.ExitCode())
 	}
-	return p
+}
+
+// exit waits for its end.
+func (r *running) exit() (code int) {
+	r.ended = true
+	for range r.lines { // all of it is written before the program is waited for
+	}
+	r.cmd.Wait()
+	return r.cmd.ProcessState.ExitCode()
 }
 
 func TestProgram(t *testing.T) {
--- a/internal/attempt/desk.go
+++ b/internal/attempt/desk.go
@@ -115,6 +115,17 @@
 	d.gateway.Retune(classes, most)
 }
 
+// Part sets how much of the ingress this process is; junior: the other process reports it to the counter.
+func (d *Desk) Part(part float64, junior bool) { d.gateway.Part(part, junior) }
+
+// Share hands over half of the stores, and what has been learned.
+func (d *Desk) Share(now passhub.Seconds) passhub.Knowledge { return d.gateway.Share(now) }
+
+// Take takes that up.
+func (d *Desk) Take(now passhub.Seconds, k passhub.Knowledge) (customers, backends int) {
+	return d.gateway.Take(now, k)
+}
+
 // Pool tells how many quote servers are listed, and how many of these the gateway avoids now.
 func (d *Desk) Pool(now passhub.Seconds) (listed, avoided int) { return d.gateway.Pool(now) }
 
@@ -143,7 +154,7 @@
 	if over && !mutated("ended-stays") {
 		delete(d.open, q.id)
 	}
-	d.handle(now, passhub.AttemptEnded{ID: q.id, Attempt: q.life.attempts - 1, Backend: q.backend, Outcome: o, Took: now - q.sent, Settled: over, Spent: q.life.spent})
+	d.handle(now, passhub.AttemptEnded{ID: q.id, Attempt: q.life.attempts - 1, Backend: q.backend, Outcome: o, Took: now - q.sent, Settled: over, Spent: q.life.spent && !mutated("spent-untold")})
 	if gone && !mutated("gone-untold") {
 		d.out = append(d.out, Tell{q, Decision{Kind: Gone}})
 	}
--- a/internal/attempt/life.go
+++ b/internal/attempt/life.go
@@ -72,7 +72,7 @@
 		return fmt.Errorf("send while %v: %w", l.phase, ErrPhase)
 	case l.attempts >= max(1, l.Most):
 		return fmt.Errorf("send after %d: %w", l.attempts, ErrMany)
-	case l.spent && !mutated("spent-again"):
+	case l.spent:
 		return fmt.Errorf("send: %w", ErrSpent)
 	case l.Once && l.mayRun:
 		return fmt.Errorf("send: %w", ErrTwice)
--- a/internal/ceiling/ceiling.go
+++ b/internal/ceiling/ceiling.go
@@ -38,9 +38,10 @@
 	return min(mostSpan, max(0, (s.Depth/s.Rate-Late)/2))
 }
 
-// Own is what an ingress may let through by itself: left is what it had, since is how long ago that was.
-func (s Split) Own(left, since float64) float64 {
-	part := 1 / s.Doors
+// Own is what an ingress may let through by itself: left is what it had, since is how long ago that was. Share is how much
+// of the ingress the process is that asks: 1 but while a newer one starts beside an older one.
+func (s Split) Own(left, since, share float64) float64 {
+	part := share / s.Doors
 	if s.span() > 0 {
 		part *= own
 	}
--- a/internal/ceiling/ceiling_test.go
+++ b/internal/ceiling/ceiling_test.go
@@ -25,7 +25,7 @@
 
 // ask has a request of some units come to a door; the answer of the counter and the send come late.
 func (f *fleet) ask(now float64, door int, units, late float64) bool {
-	f.left[door], f.at[door] = f.s.Own(f.left[door], now-f.at[door]), now
+	f.left[door], f.at[door] = f.s.Own(f.left[door], now-f.at[door], 1), now
 	if f.left[door] >= units {
 		f.left[door] -= units
 		f.send(now, units)
@@ -72,7 +72,7 @@
 				at = rng.IntN(int(s.Doors))
 			}
 			if !s.Counter {
-				f.left[at], f.at[at] = f.s.Own(f.left[at], now-f.at[at]), now
+				f.left[at], f.at[at] = f.s.Own(f.left[at], now-f.at[at], 1), now
 				if f.left[at] < 4 {
 					continue
 				}
@@ -120,7 +120,7 @@
 		if name, room, _, ok := s.Common(100); ok {
 			t.Errorf("%+v: %s, %v", s, name, room)
 		}
-		if got := fmt.Sprint(s.Own(0, 1e6)); got != fmt.Sprint((s.Depth+s.Slack)/s.Doors) {
+		if got := fmt.Sprint(s.Own(0, 1e6, 1)); got != fmt.Sprint((s.Depth+s.Slack)/s.Doors) {
 			t.Errorf("%+v: own part %s", s, got)
 		}
 	}
--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -163,7 +163,7 @@
 	if c.code == "" && crowded {
 		c.code = CodeRoom
 	}
-	return c.code != "" || !keepOpen
+	return c.code != "" && !mutated("last-kept") || !keepOpen
 }
 
 // Began tells that bytes of a request are here that nobody has read yet: in a rush they may be for long.
--- a/internal/client/pace.go
+++ b/internal/client/pace.go
@@ -47,5 +47,6 @@
 	if p.Long {
 		most = longStall
 	}
-	return still > most || p.waited+still > bodyFree+float64(p.got)/bodyLeast
+	stalls := still > most && !mutated("stall-for-ever")
+	return stalls || p.waited+still > bodyFree+float64(p.got)/bodyLeast && !mutated("trickle-for-ever")
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -20,6 +20,7 @@
 	Name, Listen, Discovery string
 	Counter                 string // empty where there is none
 	Mgmt                    string // the management address, for operators alone; empty: none
+	State                   string // folder that this ingress's processes share while one upgrades another; empty: none
 	Seed                    uint64
 	Limits                  Limits
 	Known                   *discovery.List // nil: none
@@ -89,7 +90,7 @@
 	}
 	c := &Config{
 		Name: file.Name, Listen: file.Listen, Discovery: file.Discovery, Counter: file.Counter, Mgmt: file.Mgmt,
-		Limits: file.Limits, Known: file.Known,
+		Limits: file.Limits, Known: file.Known, State: getenv("TMPDIR"), // which the platform keeps over an upgrade
 	}
 	for name, value := range map[string]*string{
 		"NODE_NAME": &c.Name, "NODE_LISTEN": &c.Listen, "NODE_DISCOVERY": &c.Discovery, "NODE_MGMT": &c.Mgmt,
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -48,6 +48,7 @@
 		{"name", map[string]string{"NODE_NAME": "n9"}, want(func(c *Config) { c.Name = "n9" })},
 		{"listen", map[string]string{"NODE_LISTEN": "127.0.0.9:1"}, want(func(c *Config) { c.Listen = "127.0.0.9:1" })},
 		{"discovery", map[string]string{"NODE_DISCOVERY": "127.0.0.9:2"}, want(func(c *Config) { c.Discovery = "127.0.0.9:2" })},
+		{"state", map[string]string{"TMPDIR": "/x"}, want(func(c *Config) { c.State = "/x" })},
 		{"management", map[string]string{"NODE_MGMT": "127.0.0.9:4"}, want(func(c *Config) { c.Mgmt = "127.0.0.9:4" })},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/config/hcl.go
+++ b/internal/config/hcl.go
@@ -19,6 +19,7 @@
 	Name      string         `hcl:"name,optional"`
 	Listen    string         `hcl:"listen"`
 	Mgmt      string         `hcl:"mgmt,optional"`
+	State     string         `hcl:"state,optional"`
 	Discovery string         `hcl:"discovery,optional"`
 	Log       string         `hcl:"log_format,optional"`
 	Limits    *limitsBlock   `hcl:"limits,block"`
@@ -139,6 +140,12 @@
 		}
 		c.Mgmt = w.Mgmt
 	}
+	if w.State != "" {
+		if info, err := os.Stat(w.State); err != nil || !info.IsDir() {
+			return f.At("state", fmt.Sprintf("%q is no folder", w.State))
+		}
+		c.State = w.State
+	}
 	if w.Log != "" && w.Log != "text" && w.Log != "json" {
 		return f.At("log_format", fmt.Sprintf("%q is neither \"text\" nor \"json\"", w.Log))
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -86,8 +86,9 @@
 	mu        sync.Mutex
 	desk      *attempt.Desk
 	counts    counts
-	catalogue Catalogue   // nil: none, plans are those of the settings
-	due       *time.Timer // for what the catalogue has next
+	catalogue Catalogue       // nil: none, plans are those of the settings
+	due       *time.Timer     // for what the catalogue has next
+	lapses    passhub.Seconds // when this process's part of the ingress ends unless it is renewed; 0: never
 }
 
 // New returns an engine around a gateway that nobody else uses. The settings are the gateway's.
@@ -122,6 +123,40 @@
 	e.mu.Unlock()
 }
 
+// Part sets how much of the ingress this process is, for so many seconds: where nothing has said otherwise by then, the
+// process was stopped meanwhile, and is none of it. For 0 it holds until the next call.
+func (e *Engine) Part(part float64, junior bool, lease passhub.Seconds) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.lapses = 0; lease > 0 {
+		e.lapses = e.clock.Now() + lease
+	}
+	e.desk.Part(part, junior)
+}
+
+// Share hands over half of the stores to another process of this ingress, and what has been learned.
+func (e *Engine) Share() passhub.Knowledge {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.desk.Share(e.clock.Now())
+}
+
+// Take takes up what another process of this ingress handed over.
+func (e *Engine) Take(k passhub.Knowledge) (customers, backends int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.desk.Take(e.clock.Now(), k)
+}
+
+// now is the module's time, the mutex held. A part whose lease has run out is none.
+func (e *Engine) now() passhub.Seconds {
+	now := e.clock.Now()
+	if e.lapses > 0 && now > e.lapses {
+		e.desk.Part(0, true)
+	}
+	return now
+}
+
 // Pool tells how many quote servers are listed, and how many of these the module avoids now.
 func (e *Engine) Pool() (listed, avoided int) {
 	e.mu.Lock()
@@ -183,7 +218,7 @@
 	t := &Ticket{engine: e, cancel: cancel, Plan: r.Plan,
 		next: make(chan Decision, 2)} // a Send not yet taken up, and the Gone behind it
 	e.mu.Lock()
-	now := e.clock.Now()
+	now := e.now()
 	if e.catalogue != nil {
 		if r.Terms = e.catalogue.Terms(r.Customer, r.Plan, now); r.Terms != nil {
 			t.Plan, t.Revision = r.Terms.Plan.Name, e.catalogue.InForce(now)
@@ -233,7 +268,7 @@
 // do has something happen at the desk, under the mutex, and carries out what comes of it.
 func (e *Engine) do(happen func(now passhub.Seconds) []attempt.Effect) {
 	e.mu.Lock()
-	now := e.clock.Now() // under the mutex: the module's time never goes back
+	now := e.now() // under the mutex: the module's time never goes back
 	later := e.decide(happen(now))
 	due, c := e.counts.turn(now)
 	e.mu.Unlock()
--- a/internal/explore/events.go
+++ b/internal/explore/events.go
@@ -16,6 +16,7 @@
 
 // alphabet is every kind of event, for the share of pairs that a run has covered. The names of events begin with these.
 var alphabet = []string{
+	"up", "server-breaks-upload", "leaves-upload", "early-200", "early-500", "early-503-not-processed",
 	"200", "200-and-close", "200-and-more", "500", "503-not-processed", "504-not-processed", "503", "interim", "spoilt",
 	"breaks", "breaks-early", "speaks-early", "last-byte", "time-out", "cancel-lands", "leaves", "retries",
 	"connects", "refuses-late", "drains", "gone", "address-taken", "refuses", "forgets", "list-again",
@@ -149,6 +150,11 @@
 				w.finish(t, k, k.Unwritten(link.Cancelled))
 				return
 			}
+			if t.client.long {
+				t.stage = uploading
+				w.desk.Spend(t.client.request)
+				return
+			}
 			w.written(t)
 		})
 		for _, name := range []string{"breaks-early", "speaks-early"} {
@@ -164,6 +170,10 @@
 		}
 		return
 	}
+	if t.stage == uploading {
+		w.uploadEvents(on)
+		return
+	}
 	for _, a := range []struct {
 		name   string
 		answer link.Answer
@@ -207,6 +217,34 @@
 	}
 }
 
+// uploadEvents are what may become of a body that goes up.
+func (w *World) uploadEvents(on func(string, func(w *World, t *try, k *conn))) {
+	on("up", func(w *World, t *try, k *conn) { w.written(t) })
+	on("server-breaks-upload", func(w *World, t *try, k *conn) {
+		k.spoilt = true
+		w.memory.Lost(t.backend, w.now)
+		w.finish(t, k, k.Unwritten(map[bool]link.Trouble{false: link.Broke, true: link.Cancelled}[t.cancelled]))
+	})
+	on("leaves-upload", func(w *World, t *try, k *conn) { // it stalls, or leaves: nobody waits for the answer
+		c := t.client
+		k.spoilt, c.gone, t.cancelled = true, true, true
+		w.do(w.desk.Leave(w.now, c.request))
+		w.finish(t, k, k.Unwritten(link.Cancelled))
+	})
+	for _, a := range []struct {
+		name   string
+		answer link.Answer
+	}{{"early-200", link.Answer{Status: 200}}, {"early-500", link.Answer{Status: 500}}, {"early-503-not-processed", link.Answer{Status: 503, NotProcessed: true}}} {
+		on(a.name, func(w *World, t *try, k *conn) {
+			k.spoilt = true // half a request is on it
+			if !a.answer.NotProcessed {
+				t.client.mayRun++ // who answers may have read enough to run it
+			}
+			w.finish(t, k, k.Early(a.answer))
+		})
+	}
+}
+
 // step lets one event happen. Attempts of a world that is halted are given up as they begin.
 func (w *World) step(e event) {
 	w.steps++
--- a/internal/explore/explore.go
+++ b/internal/explore/explore.go
@@ -60,6 +60,13 @@
 			}
 		}
 	}
+	for _, servers := range []int{1, 2} { // a body goes up as it comes
+		for _, send := range []bool{false, true} {
+			for _, kept := range []bool{false, true} {
+				all = append(all, Config{Servers: servers, Send: [2]bool{send}, Kept: kept, Long: true})
+			}
+		}
+	}
 	for _, servers := range []int{1, 2} { // while a connection comes up, the list may change and the client leave
 		for _, send := range []bool{false, true} {
 			all = append(all, Config{Servers: servers, Send: [2]bool{send}, Dials: true})
--- a/internal/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -103,3 +103,12 @@
 		seen[c.String()] = true
 	}
 }
+
+// No order of six events on a client's connection violates a property.
+func TestClientOrders(t *testing.T) {
+	orders, trace, violation := Clients(6)
+	if violation != nil {
+		t.Errorf("%s: %s: %s", violation.Property, violation.Text, strings.Join(trace, ", "))
+	}
+	t.Logf("%d orders", orders)
+}
--- a/internal/explore/mutants_test.go
+++ b/internal/explore/mutants_test.go
@@ -3,9 +3,11 @@
 package explore
 
 import (
+	"strings"
 	"testing"
 
 	"mulleinrouter/internal/attempt"
+	clientconn "mulleinrouter/internal/client"
 	"mulleinrouter/internal/link"
 )
 
@@ -17,11 +19,24 @@
 	{&link.Mutant, "ready-draining"}, {&link.Mutant, "ready-moved"}, {&link.Mutant, "unwritten-kept"}, {&link.Mutant, "more-kept"},
 	{&link.Mutant, "close-kept"}, {&link.Mutant, "cancelled-kept"}, {&link.Mutant, "busy-unproven"}, {&link.Mutant, "error-proves"},
 	{&link.Mutant, "reset-proves"}, {&link.Mutant, "late-proves"}, {&link.Mutant, "cancel-proves"}, {&link.Mutant, "spoilt-kept"},
-	{&link.Mutant, "taken-stays"}, {&link.Mutant, "put-twice"}, {&link.Mutant, "gone-uncounted"},
+	{&link.Mutant, "early-kept"}, {&attempt.Mutant, "spent-untold"}, {&link.Mutant, "taken-stays"}, {&link.Mutant, "put-twice"}, {&link.Mutant, "gone-uncounted"},
 	{&attempt.Mutant, "deserted-waits"}, {&attempt.Mutant, "left-is-over"}, {&attempt.Mutant, "ended-stays"}, {&attempt.Mutant, "gone-untold"},
 	{&attempt.Mutant, "fail-refuses"}, {&attempt.Mutant, "cancel-lost"}, {&attempt.Mutant, "no-time-out"}, {&attempt.Mutant, "leaving-untold"},
 }
 
+// Every fault that is seeded in the clients' connections is found.
+func TestClientMutants(t *testing.T) {
+	defer func() { clientconn.Mutant = "" }()
+	for _, clientconn.Mutant = range []string{"drained-stays", "taken-is-cut", "head-for-ever", "busy-spared", "stall-for-ever", "trickle-for-ever", "last-kept"} {
+		_, trace, violation := Clients(6)
+		if violation == nil {
+			t.Errorf("%s lives: a property is missing", clientconn.Mutant)
+			continue
+		}
+		t.Logf("%s: %s, %s: %s", clientconn.Mutant, violation.Property, violation.Text, strings.Join(trace, ", "))
+	}
+}
+
 // Every fault that is seeded is found, with a short trace that violates nothing in the code as it is.
 func TestMutants(t *testing.T) {
 	for _, m := range mutants {
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -25,6 +25,7 @@
 	Thin    bool    // the member's requests ask the counter
 	Full    bool    // one connection at the most
 	Dials   bool    // new connections take their time to come up
+	Long    bool    // the first request's body goes up as it comes
 }
 
 // String is a config in words, as traces have it.
@@ -37,7 +38,7 @@
 	for _, f := range []struct {
 		is   bool
 		word string
-	}{{c.Kept, "kept"}, {c.Thin, "thin"}, {c.Full, "full"}, {c.Dials, "dials"}} {
+	}{{c.Kept, "kept"}, {c.Thin, "thin"}, {c.Full, "full"}, {c.Dials, "dials"}, {c.Long, "long"}} {
 		if f.is {
 			words = append(words, f.word)
 		}
@@ -63,6 +64,8 @@
 			c.Full = true
 		case word == "dials":
 			c.Dials = true
+		case word == "long":
+			c.Long = true
 		default:
 			return c, fmt.Errorf("no world has %q", word)
 		}
@@ -100,6 +103,7 @@
 	steps      int
 	queue      []attempt.Effect // to be carried out
 	busy       bool             // they are being
+	long       bool             // the next request that is asked is long
 }
 
 // Violation is a property that does not hold.
@@ -140,15 +144,17 @@
 	mayRun   int // attempts that may have run, in truth
 	retried  bool
 	finished bool
+	long     bool
 }
 
 // stage is where an attempt is, between the steps of the pool.
 type stage int
 
 const (
-	dialing  stage = iota // a connection is to come up
-	holding               // written but for the last byte
-	awaiting              // written whole
+	dialing   stage = iota // a connection is to come up
+	holding                // written but for the last byte, or the head of a long request alone
+	uploading              // its body goes up
+	awaiting               // written whole
 )
 
 // try is an attempt that is out.
@@ -205,7 +211,9 @@
 		w.shelf.Put(w.servers[0].id, k, w.now)
 		w.now += 2 // idle for long: the last byte is held
 	}
+	w.long = c.Long
 	w.ask(c.Send[0], false)
+	w.long = false
 	if c.Two {
 		w.ask(c.Send[1], false)
 	}
@@ -240,7 +248,7 @@
 
 // ask has a client send a request.
 func (w *World) ask(send, repeat bool) {
-	c := &client{name: fmt.Sprint("c", len(w.clients)+1), send: send, at: w.now}
+	c := &client{name: fmt.Sprint("c", len(w.clients)+1), send: send, at: w.now, long: w.long}
 	w.clients = append(w.clients, c)
 	class, doors := "read", 1
 	if send {
@@ -249,7 +257,7 @@
 	if w.config.Thin {
 		doors = 3
 	}
-	r := passhub.Request{Class: class, Plan: planTable[w.plan].Name, Customer: "m", Left: deadline, Units: 1, Doors: doors, Repeat: repeat}
+	r := passhub.Request{Class: class, Plan: planTable[w.plan].Name, Customer: "m", Left: deadline, Units: 1, Doors: doors, Repeat: repeat, Long: w.long}
 	var effects []attempt.Effect
 	c.request, effects = w.desk.Submit(w.now, r, c)
 	w.do(effects)
@@ -385,7 +393,10 @@
 	} else if s.addr != k.addr {
 		w.violate("nothing-new-to-the-gone", "%s begins at an address that is another server's", c.name)
 	}
-	if w.memory.Hold(t.backend, w.now, link.Evidence{Fresh: k.Uses() == 1, Idle: w.now - k.answered, Once: c.send}) {
+	if life := c.request.Life(); life.Spent() {
+		w.violate("spent-is-spent", "%s begins again, and its body has gone", c.name)
+	}
+	if c.long || w.memory.Hold(t.backend, w.now, link.Evidence{Fresh: k.Uses() == 1, Idle: w.now - k.answered, Once: c.send}) {
 		t.stage = holding
 		return
 	}
@@ -458,6 +469,9 @@
 		w.violate("legal", "%v", err)
 	}
 	t.stage = awaiting
+	if c.long {
+		w.desk.Arrived(w.now, c.request)
+	}
 	if c.mayRun++; c.send && c.mayRun > 1 {
 		w.violate("never-twice", "%s must not run twice, and may have", c.name)
 	}
@@ -482,7 +496,7 @@
 	} else {
 		w.close(k)
 	}
-	if v.Again {
+	if life := t.client.request.Life(); v.Again && !life.Spent() {
 		t.conn = nil
 		w.start(t)
 		return
@@ -642,7 +656,7 @@
 	}
 	k := t.conn
 	k.spoilt = true
-	if t.stage == holding {
+	if t.stage == holding || t.stage == uploading {
 		if trouble == link.Late {
 			trouble = link.Broke // the write's deadline
 		}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -30,7 +30,7 @@
 			Balancers: 1, MaxAttempts: 1, MayCancel: true,
 			Classes: []passhub.Class{{Name: "send", Aim: 20, Deadline: 30, Worth: 1},
 				{Name: "read", Aim: 20, Deadline: 30, Worth: 1, Effect: passhub.Safe}},
-			Plans:   []passhub.Plan{{Name: "plus", Rate: 1000, Burst: 1000, Price: 1}},
+			Plans: []passhub.Plan{{Name: "plus", Rate: 1000, Burst: 1000, Price: 1}},
 		}
 		e := engine.New(passhub.New(settings, 1), &settings, engine.NewClock())
 		e.Start(nil)
--- a/internal/jsontext/jsontext.go
+++ b/internal/jsontext/jsontext.go
@@ -22,5 +22,8 @@
 	return nil
 }
 
+// Encode writes a value.
+func Encode(v any) ([]byte, error) { return api.Marshal(v) }
+
 // NewEncoder returns an encoder that writes each value on a line.
 func NewEncoder(w io.Writer) *jsoniter.Encoder { return api.NewEncoder(w) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math"
 	"net"
+	"os"
 	"runtime"
 	"runtime/debug"
 	"slices"
@@ -66,6 +67,9 @@
 
 	applied, rejected atomic.Int64 // configuration files read at SIGHUP
 
+	pair    *pair       // other processes of this ingress; nil: there can be none
+	leaving atomic.Bool // it takes no new clients
+
 	mu    sync.Mutex
 	state *plans.State // nil: plans have not changed since the start
 	last  uint64       // number of the revision that the last reload made
@@ -100,6 +104,11 @@
 
 func (n *Node) start(ctx context.Context) (err error) {
 	c := n.config
+	// Before it listens: what comes to it meanwhile goes to the older process.
+	var learned *passhub.Knowledge
+	if n.pair = beside(c.State, c.Name, c.Listen, int64(os.Getpid()), n.log); n.pair != nil {
+		learned = n.pair.learn()
+	}
 	if n.listener, err = hotrestart.Listen(c.Listen); err != nil {
 		return err // a second process beside this one listens there too: only another program can be in the way
 	}
@@ -124,6 +133,13 @@
 	if c.Known != nil {
 		n.watcher.Known(c.Known)
 	}
+	if learned != nil {
+		customers, backends := n.engine.Take(*learned)
+		n.log.WithFields(logrus.Fields{"code": "process-learned", "customers": customers, "servers": backends}).Info("an older process handed over what it knows")
+	}
+	if n.pair != nil {
+		n.spawn(func() { n.beats(ctx) })
+	}
 	pool := upstream.New(directory.Lookup, upstream.Limits{
 		Connections:    int(upstreamShare * float64(c.Limits.Sockets)),
 		ConnectTimeout: seconds(c.Settings.ConnectTimeout),
@@ -382,6 +398,7 @@
 		n.log.WithField("code", "process-not-steered").WithError(err).Warn("new connections still come here until the listener closes")
 	}
 	time.Sleep(handOver) // the front still sends
+	n.leaving.Store(true)
 	n.listener.Close()
 	n.server.Drain(patience, rest)
 	n.stop()
--- a/passhub/passhub.go
+++ b/passhub/passhub.go
@@ -47,6 +47,10 @@
 	CountWait Seconds // a call unanswered for this long has timed out
 	CostAfter bool    // units are guesses, settled by the first good answer
 	MaxUnits  float64 // the most units one request counts
+
+	// Of a gateway that is two processes for a while; Part sets them.
+	Absent float64 // how much of the gateway another process of it is; 0: this one is all of it
+	Junior bool    // another process reports this gateway to the counter as one that asks
 }
 
 // Effect tells whether a class of requests may run twice.
--- a/passhub/quotas.go
+++ b/passhub/quotas.go
@@ -117,7 +117,7 @@
 // topUp brings what this gateway's own part of the ceiling still lets through up to now.
 func (g *Gateway) topUp(c *customer) {
 	if c.plan.CeilingRate > 0 {
-		c.ceiling = c.plan.split(c.doors, g.s.MayCount).Own(c.ceiling, g.now-c.ceilFill)
+		c.ceiling = c.plan.split(c.doors, g.s.MayCount).Own(c.ceiling, g.now-c.ceilFill, g.part())
 	}
 	c.ceilFill = g.now
 }
@@ -156,7 +156,7 @@
 	if c.thin {
 		rate, most = g.rate(c)*c.share, max(1, g.s.MaxUnits, c.plan.Burst*c.share)
 	}
-	c.level = min(most, c.level+rate*(g.now-c.filled))
+	c.level = min(g.room(most), c.level+g.part()*rate*(g.now-c.filled))
 	c.filled = g.now
 }
 
@@ -175,7 +175,7 @@
 // turn closes a customer's cycle and, where its demand nears the slice, adds it to the counter.
 func (g *Gateway) turn(c *customer) {
 	span := max(g.now-c.since, c.period/2)
-	c.r, c.demand, c.since = c.demand/span, 0, g.now
+	c.r, c.demand, c.since = c.demand/span/max(0.1, g.part()), 0, g.now
 	c.cycle = c.cycleAt(g.now)
 	c.readAt, c.calls = 0, 0
 	if c.quota <= 0 || c.doors < 2 || c.thin {
@@ -191,7 +191,7 @@
 	c.calls = 1
 	field, unit := c.pack()
 	most := math.Floor((field - 1) / c.doors) // so that no number of gateways spills into k
-	g.count(c, c.cycle, field+min(most, math.Floor(c.r/unit+g.rng.Float64())))
+	g.count(c, c.cycle, g.reporter(field)+min(most, math.Floor(c.r*g.part()/unit+g.rng.Float64())))
 }
 
 // pack tells how a total of seven digits holds k and, below it, R in units that are rounded by chance.
--- a/passhub/servers.go
+++ b/passhub/servers.go
@@ -88,7 +88,7 @@
 		if !thin || b.bad == 0 {
 			used++
 		}
-		limit := b.limit
+		limit := b.limit * g.part()
 		if r.spare {
 			limit *= excessRoom
 		}
--- /dev/null
+++ b/passhub/state.go
@@ -0,0 +1,150 @@
+package passhub
+
+import (
+	"maps"
+	"math"
+	"slices"
+)
+
+// Two processes may be one gateway for a while: a newer one starts beside an older one. Part says how much of the gateway
+// this process is, Share and Take hand over what one has learned. None of it is part of the simulator's policy: there, an
+// instance is one process.
+
+const (
+	takenFor    = 60.0 // s: older knowledge tells nothing of the present
+	forgetTimes = 10.0 // s in which two thirds of what is known of a backend's bound and times is forgotten
+)
+
+// Part sets how much of the gateway this process is, from 0 to 1: its stores, its part of ceilings and its bounds at
+// backends fill and hold so much less. Junior: another process reports this gateway to the counter as one that asks.
+func (g *Gateway) Part(part float64, junior bool) {
+	g.s.Absent, g.s.Junior = 1-max(0, min(1, part)), junior
+}
+
+func (g *Gateway) part() float64 { return 1 - g.s.Absent }
+
+// room is how much of a store this process may hold: its part, but a whole request.
+func (g *Gateway) room(most float64) float64 {
+	return max(min(most, max(1, g.s.MaxUnits)), g.part()*most)
+}
+
+// reporter is what a report adds to the number of gateways that ask.
+func (g *Gateway) reporter(field float64) float64 {
+	if g.s.Junior {
+		return 0
+	}
+	return field
+}
+
+// Knowledge is what a gateway has learned, as of a time on the clock that its processes share.
+type Knowledge struct {
+	At        Seconds
+	Usual     Seconds // time of an answer, over the fleet
+	Rate      float64 // sends a second
+	Chance    float64 // of a call to the counter
+	Customers []CustomerKnowledge
+	Backends  []BackendKnowledge
+}
+
+// CustomerKnowledge is what is known of one customer's quota.
+type CustomerKnowledge struct {
+	Terms             Terms
+	Doors             int
+	Slice             float64 // units a second
+	Level, Ceiling    float64 // units
+	Filled, CeilFill  Seconds // when these were reckoned
+	Rate, Total, Told float64 // asked here, and the last totals: asked at all gateways, by how many
+	TotalAt, ValidFor Seconds
+	Ratio, Part       float64 // of a thin customer
+}
+
+// BackendKnowledge is what is known of one backend.
+type BackendKnowledge struct {
+	ID                 string
+	Limit, Errors      float64
+	Time, Usual        Seconds // of an answer: its own, and that of its kind
+	Bad                int     // failures in a row
+	Good               bool
+	DownTill, FullTill Seconds
+}
+
+// Share halves what the local stores hold, and returns the other half with all that has been learned.
+func (g *Gateway) Share(now Seconds) Knowledge {
+	g.now = now
+	k := Knowledge{At: now, Usual: g.lat, Rate: g.sentRate, Chance: g.chance}
+	for _, c := range g.known {
+		g.topUp(c)
+		if c.quota > 0 {
+			g.fill(c)
+		}
+		c.level, c.ceiling = c.level/2, c.ceiling/2
+		totalAt := c.totalAt
+		if math.IsInf(totalAt, -1) {
+			totalAt = 0 // files have no infinity
+		}
+		k.Customers = append(k.Customers, CustomerKnowledge{Terms: Terms{Customer: c.key, Plan: *c.plan, Tag: c.tag}, Doors: int(c.doors), Slice: c.slice,
+			Level: c.level, Ceiling: c.ceiling, Filled: c.filled, CeilFill: c.ceilFill, Rate: c.r, Total: c.R, Told: c.k, TotalAt: totalAt,
+			ValidFor: c.validFor, Ratio: c.ratio, Part: c.share})
+	}
+	for _, b := range g.order {
+		if b.listed {
+			k.Backends = append(k.Backends, BackendKnowledge{ID: b.ID, Limit: b.limit, Errors: b.errs, Time: b.lat, Usual: *b.usual,
+				Bad: b.bad, Good: b.good, DownTill: b.downTill, FullTill: b.fullTill})
+		}
+	}
+	return k
+}
+
+// Take takes up what another process of this gateway has learned, as if the time since had passed here: stores fill,
+// totals lapse, bounds and times go back to what a new process begins with. It is meant for a process that has heard the
+// list and decided nothing yet; what is known of customers whose quota or ceiling is impossible is left out.
+func (g *Gateway) Take(now Seconds, k Knowledge) (customers, backends int) {
+	age := now - k.At
+	if !(age > -1 && age < takenFor) {
+		return 0, 0 // too old, or of a clock that has gone back
+	}
+	g.now = now
+	weight := math.Exp(-max(0, age) / forgetTimes)
+	mix := func(to *float64, from float64) {
+		if from > 0 && !math.IsInf(from, 0) {
+			*to += weight * (from - *to)
+		}
+	}
+	mix(&g.lat, k.Usual)
+	mix(&g.chance, min(1, k.Chance))
+	g.sentRate, g.rated = weight*max(0, k.Rate), g.chance
+	tags := map[string]*Terms{}
+	for _, name := range slices.Sorted(maps.Keys(g.plans)) {
+		tags[g.plans[name].Tag] = g.plans[name]
+	}
+	for _, e := range k.Customers {
+		if e.Doors < 1 || e.Level < 0 || e.Ceiling < 0 || e.Slice < 0 || e.Filled > now+1 || e.CeilFill > now+1 || g.customers[e.Terms.Customer] != nil {
+			continue
+		}
+		terms := tags[e.Terms.Tag]
+		if terms == nil {
+			terms = &e.Terms // of the catalogue
+		}
+		c := g.customer(Request{Customer: e.Terms.Customer, Doors: e.Doors}, terms)
+		c.slice, c.level, c.ceiling, c.filled, c.ceilFill = min(e.Slice, c.quota), e.Level, e.Ceiling, min(e.Filled, now), min(e.CeilFill, now)
+		c.r, c.R, c.k, c.ratio, c.share = e.Rate, e.Total, e.Told, e.Ratio, min(1, max(0, e.Part))
+		if c.validFor = max(0, e.ValidFor); e.TotalAt > 0 {
+			c.totalAt = min(e.TotalAt, now)
+		}
+		customers++
+	}
+	for _, e := range k.Backends {
+		b := g.backends[e.ID]
+		if b == nil || !b.listed || b.Booted > k.At || g.cold(b) < 1 {
+			continue // another process by now: nothing is known of it
+		}
+		mix(&b.limit, min(limitMost, e.Limit))
+		mix(&b.lat, e.Time)
+		mix(b.usual, e.Usual)
+		b.errs, b.bad, b.good = weight*min(1, max(0, e.Errors)), min(max(0, e.Bad), ejectAfter+2), e.Good
+		b.downTill, b.fullTill = min(e.DownTill, now+ejectMost), min(e.FullTill, now+ejectMost)
+		backends++
+	}
+	g.extent()
+	return customers, backends
+}
--- a/passhub/terms_test.go
+++ b/passhub/terms_test.go
@@ -1,6 +1,7 @@
 package passhub
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -20,6 +21,7 @@
 	sent     float64
 	answers  map[uint64]int
 	id       uint64
+	doors    int // 0: as many as there are gateways
 }
 
 func newMember(t *testing.T, n int, terms *Terms) *member {
@@ -73,7 +75,7 @@
 func (f *member) ask(i int) {
 	f.id++
 	f.handle(f.gateways[i], Request{ID: f.id, Class: "safe", Plan: "rate", Customer: "c", Left: 3, Units: 1,
-		Doors: len(f.gateways), Terms: f.terms[i]})
+		Doors: cmp.Or(f.doors, len(f.gateways)), Terms: f.terms[i]})
 }
 
 func (f *member) change(i int, t *Terms) {
