Decide small members of small fleets by the pinned step: thin below 0.6 requests a cycle

A member is thin where a cycle's even share holds fewer than thinUnits of the largest requests; with 3.0 all basic members of this site were, and chance lets in aimShare (0.85) of a quota at most. Lines: gateway.go, thinUnits; quotas.go, adopt.

Change: thinUnits 3.0 to 0.6, and thin where the even part of the burst holds no request.

--- a/passhub/gateway.go
+++ b/passhub/gateway.go
@@ -25,7 +25,7 @@
 	changeCycles       = 3        // after a change of terms, others may not have heard of it
 	idleLapse          = 60.0     // s without use after which a customer, or a backend gone, is forgotten
 
-	thinUnits            = 3.0         // largest requests in a cycle's even share: below it a slice is noise
+	thinUnits            = 0.6         // largest requests in a cycle's even share: below it a slice is noise
 	aimShare             = 0.85        // of the quota, by chance: a store near empty refuses by chance
 	weightMost           = 0.15        // of a cycle's quota that one call may add
 	validMost            = 4.0         // cycles for which a total that keeps saying the same is believed
--- a/passhub/quotas.go
+++ b/passhub/quotas.go
@@ -78,7 +78,7 @@
 	c.phase = float64(c.hash%1024) / 1024 * c.period            // spreads the calls of a cycle over it
 	c.cycle = c.cycleAt(g.now)
 	if c.thin = c.quota > 0 && c.doors > 2*c.quota; c.plan.Rate > 0 {
-		c.thin = c.doors > 1 && c.quota*c.period/c.doors < thinUnits*max(1, g.s.MaxUnits)
+		c.thin = c.doors > 1 && min(c.quota*c.period/thinUnits, c.plan.Burst) < c.doors*max(1, g.s.MaxUnits)
 	}
 }
 
--- /dev/null
+++ b/passhub/thin_test.go
@@ -0,0 +1,43 @@
+package passhub
+
+import "testing"
+
+// Who is decided by chance, request by request, and who by the pinned step: a cycle's even share of half a request tells
+// enough in a small fleet, where chance lets in 0.85 of the quota only. A store that cannot hold a request lets none in.
+func TestWhoIsThin(t *testing.T) {
+	for _, tc := range []struct {
+		name        string
+		rate, burst float64
+		doors       int
+		thin        bool
+	}{
+		{"a small member of a small fleet", 3, 15, 3, false},
+		{"the same in a large fleet", 3, 15, 40, true},
+		{"a store that holds no request", 3, 10, 4, true},
+		{"a large member of a large fleet", 300, 900, 40, false},
+		{"one ingress alone", 0.1, 1, 1, false},
+	} {
+		s := testSettings()
+		s.MaxUnits = 4
+		s.Plans = []Plan{{Name: "p", Rate: tc.rate, Burst: tc.burst, Price: 1, BeyondCosts: 1}}
+		g := started(t, s, up("b", 0))
+		e := ask(1, "safe", "p")
+		e.Doors = tc.doors
+		g.Handle(1, e)
+		if got := g.customers["c"].thin; got != tc.thin {
+			t.Errorf("%s: thin %v", tc.name, got)
+		}
+	}
+}
+
+// Three gateways of a small member that asks three times its quota send on nearly all of it, and no more.
+func TestSmallMemberOfASmallFleetGetsItsQuota(t *testing.T) {
+	plan := Plan{Name: "b", Rate: 3, Burst: 15, Price: 1, BeyondCosts: 1}
+	f := newMember(t, 3, &Terms{Customer: "c", Plan: plan, Tag: plan.Tag()})
+	f.play(30, []float64{5, 3, 1}, nil) // the burst is used up
+	before := f.sent
+	f.play(200, []float64{5, 3, 1}, nil)
+	if share := (f.sent - before) / (200 * plan.Rate); share < 0.93 || share > 1.05 {
+		t.Errorf("%.2f of the quota sent on", share)
+	}
+}
