--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -106,6 +106,7 @@
 		p.Hooks["idle"] = in(client.Idle)
 		p.Hooks["reading"] = in(client.Head)
 		p.Hooks["taking"] = in(client.Uploading)
+		p.Hooks["gone"] = until(func() bool { return len(s.conns) == 0 && len(s.ids) == 0 })
 		p.Hooks["waiting"] = until(func() bool { return s.waiting > 0 })
 		p.Hooks["open"] = func(string) string {
 			s.mu.Lock()
