Decide who is younger in overlap alone, write framing once, drop what nothing calls

A second reading of the change found: the order of processes by age decided in internal/overlap and again, without the tie, in the network code of internal/node; a body's framing written by three pieces of code; a loop that slices.Contains is; and client.HeadMost, the state Ended, upload.unfinished and the length that Large returned, which nothing uses.

Change: overlap.Turn returns a View (own record, alone, junior, younger), and node only carries it out; http1.AppendFraming serves upstream and relay; the dead code is gone.

--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -1,8 +1,10 @@
 package client
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
+	"slices"
 
 	"mulleinrouter/passhub"
 )
@@ -20,17 +22,16 @@
 	Answering              // an answer goes out
 	Skipping               // the rest of a body that was answered before it was up is read off
 	Lingering              // the last answer has gone out; it is to be read before the connection ends
-	Ended
 )
 
-var states = [...]string{"idle", "head", "body", "deciding", "uploading", "answering", "skipping", "lingering", "ended"}
+var states = [...]string{"idle", "head", "body", "deciding", "uploading", "answering", "skipping", "lingering"}
 
 func (s State) String() string { return states[s] }
 
 // ErrStep tells of a step that a connection's life does not have: the host's mistake.
 var ErrStep = errors.New("not a step from there")
 
-// steps are those of a life: from a state, to which. Every state may go to Lingering and Ended.
+// steps are those of a life: from a state, to which. Every state may go to Lingering.
 var steps = map[State][]State{
 	Idle: {Head},
 	Head: {Body, Deciding, Answering},
@@ -58,6 +59,8 @@
 	CodeSilent = "client-silent"
 	CodeSlow   = "client-slow-request"
 	CodeStuck  = "client-slow-reader"
+
+	codeIllegal = "client-illegal"
 )
 
 // Conn is the machine of one client's connection. Its zero value is one that has just been accepted at time 0; Accepted
@@ -87,17 +90,9 @@
 // to be undone, for a request had begun to come in as it was ended as unused: taken is taken, and it is the last. An error
 // is ErrStep: the state is entered all the same, and the connection ends with the answer that is under way.
 func (c *Conn) Enter(to State, now passhub.Seconds, keepOpen bool) (on, freed bool, err error) {
-	if to != Ended && to != Lingering {
-		legal := false
-		for _, s := range steps[c.state] {
-			legal = legal || s == to
-		}
-		if !legal {
-			err = fmt.Errorf("%v while %v: %w", to, c.state, ErrStep)
-			if c.code == "" {
-				c.code = "client-illegal"
-			}
-		}
+	if to != Lingering && !slices.Contains(steps[c.state], to) {
+		err = fmt.Errorf("%v while %v: %w", to, c.state, ErrStep)
+		c.code = cmp.Or(c.code, codeIllegal)
 	}
 	if to == Idle && !keepOpen && c.code == "" && !mutated("drained-stays") {
 		c.code = CodeDrain
--- a/internal/client/pace.go
+++ b/internal/client/pace.go
@@ -12,9 +12,6 @@
 	headMost  = 2.6      // s for a head: clients may take 2 s, and who takes 3 must have been ended by then
 )
 
-// HeadMost is how long the head of a request may take to come, in seconds.
-const HeadMost passhub.Seconds = headMost
-
 // Pace is how the body of one request comes in. Only the time for which it is waited for counts: not that for which the
 // quote server, or the decision, is. Its zero value is one of which nothing has been waited for.
 type Pace struct {
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -224,14 +224,8 @@
 	return nil, fmt.Errorf("%w: interim answers without end", ErrStartLine)
 }
 
-// Large tells whether an answer's body may be longer than MaxBody: it is to be streamed, not read whole. Its length,
-// where the head tells it, or -1.
-func (a *Response) Large() (large bool, length int64) {
-	if a.chunked || a.untilClose {
-		return true, -1
-	}
-	return a.length > MaxBody, a.length
-}
+// Large tells whether an answer's body may be longer than MaxBody: it is to be streamed, not read whole.
+func (a *Response) Large() bool { return a.chunked || a.untilClose || a.length > MaxBody }
 
 // Body reads the whole body of an answer, of at most MaxBody.
 func (m *Reader) Body(a *Response) ([]byte, error) { return m.body(a.framing) }
@@ -497,6 +491,14 @@
 	return append(b, "\r\n"...)
 }
 
+// AppendFraming tells how the end of a body is known: by its length, or, where that is -1, by its last chunk.
+func AppendFraming(b []byte, length int64) []byte {
+	if length < 0 {
+		return AppendField(b, "Transfer-Encoding", "chunked")
+	}
+	return AppendField(b, "Content-Length", strconv.FormatInt(length, 10))
+}
+
 // AppendField adds a header.
 func AppendField(b []byte, name, value string) []byte {
 	b = append(b, name...)
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -151,9 +151,6 @@
 	}
 }
 
-// unfinished tells whether something of it still stands on the connection.
-func (u *upload) unfinished() bool { return u != nil && !u.whole }
-
 var longAgo = time.Unix(1, 0)
 
 // linger reads off what a client still sends, for a while: closing with unread bytes would reset the connection, and the
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"strconv"
 	"time"
 
 	"mulleinrouter/internal/client"
@@ -19,10 +18,8 @@
 	defer st.Close()
 	b := http1.AppendStatus(c.out[:0], 200)
 	chunked := st.Length < 0 && !c.old
-	if chunked {
-		b = http1.AppendField(b, "Transfer-Encoding", "chunked")
-	} else if st.Length >= 0 {
-		b = http1.AppendField(b, "Content-Length", strconv.FormatInt(st.Length, 10))
+	if chunked || st.Length >= 0 {
+		b = http1.AppendFraming(b, st.Length)
 	} // else the body ends with the connection: HTTP/1.0 knows no chunks
 	b = http1.AppendFields(b, head.Header, reports)
 	b = c.endHead(b, last)
--- a/internal/node/overlap.go
+++ b/internal/node/overlap.go
@@ -82,45 +82,34 @@
 	}
 }
 
-// turn is a beat. Share hands over what was learned, once to each younger process.
-func (p *pair) turn(share func() passhub.Knowledge) (own overlap.Record, alone, junior bool) {
+// turn is a beat. Share hands over what was learned, once to each younger process; nil: there is nothing yet.
+func (p *pair) turn(share func() passhub.Knowledge) overlap.View {
 	p.trouble = false
 	all, err := p.others()
 	p.tell(err)
-	own, alone, joined := p.member.Turn(unix(), all)
-	if joined && share != nil {
-		p.hand(all, own, share)
+	v := p.member.Turn(unix(), all)
+	for _, process := range v.Younger {
+		if share != nil && !p.handed[process] {
+			p.handed[process] = true
+			p.tell(p.folder.Write(knowledge, share()))
+		}
 	}
-	p.tell(p.folder.Write(records, own))
+	p.tell(p.folder.Write(records, v.Own))
 	if p.told && !p.trouble {
 		p.told = false
 		p.log.WithField("code", "state-usable").Info("the processes of this ingress know of each other again")
 	}
-	for _, r := range all {
-		junior = junior || unix()-r.Beat <= overlap.Lease && r.Born < own.Born
-	}
-	if together := !alone; together != p.together {
+	if together := !v.Alone; together != p.together {
 		p.together = together
-		p.log.WithFields(logrus.Fields{"code": "process-overlap", "together": together, "part": own.Part}).Info("another process of this ingress came, or went")
-	}
-	return own, alone, junior
-}
-
-// hand writes what was learned here for the younger processes that have not had it.
-func (p *pair) hand(all []overlap.Record, own overlap.Record, share func() passhub.Knowledge) {
-	for _, r := range all {
-		if r.Born <= own.Born || p.handed[r.Process] {
-			continue
-		}
-		p.handed[r.Process] = true
-		p.tell(p.folder.Write(knowledge, share()))
+		p.log.WithFields(logrus.Fields{"code": "process-overlap", "together": together, "part": v.Own.Part}).Info("another process of this ingress came, or went")
 	}
+	return v
 }
 
 // learn waits a moment for what an older process hands over; nil where there is none, or it does not.
 func (p *pair) learn() *passhub.Knowledge {
 	begun := unix()
-	_, alone, _ := p.turn(nil)
+	alone := p.turn(nil).Alone
 	for end := time.Now().Add(handWait); !alone && time.Now().Before(end); time.Sleep(handLook) {
 		processes, err := p.folder.Processes(knowledge)
 		p.tell(err)
@@ -157,10 +146,10 @@
 // beat is one turn; the module is told how much of the ingress this process is, and for how long that holds unless it is
 // renewed: a process that is stopped and wakes must not act on a part that others have taken.
 func (n *Node) beat() {
-	own, alone, junior := n.pair.turn(n.engine.Share)
+	v := n.pair.turn(n.engine.Share)
 	lease := 0.0
-	if !alone {
+	if !v.Alone {
 		lease = overlap.Lease
 	}
-	n.engine.Part(own.Part, junior, lease)
+	n.engine.Part(v.Own.Part, v.Junior, lease)
 }
--- a/internal/node/overlap_test.go
+++ b/internal/node/overlap_test.go
@@ -32,8 +32,8 @@
 	if k := old.learn(); k != nil {
 		t.Fatal("learned from nobody")
 	}
-	if own, alone, _ := old.turn(share); !alone || own.Part != 1 {
-		t.Fatalf("alone: %+v", own)
+	if v := old.turn(share); !v.Alone || v.Own.Part != 1 {
+		t.Fatalf("alone: %+v", v)
 	}
 	young, learned := beside(2), make(chan *passhub.Knowledge)
 	go func() { learned <- young.learn() }()
@@ -53,9 +53,9 @@
 	}
 	var got []float64
 	step := func(p *pair) {
-		own, _, junior := p.turn(share)
-		if got = append(got, own.Part); junior != (p == young) && p.folder != nil && len(got) < 4 {
-			t.Errorf("process %d, junior %v", own.Process, junior)
+		v := p.turn(share)
+		if got = append(got, v.Own.Part); v.Junior != (p == young) && p.folder != nil && len(got) < 4 {
+			t.Errorf("process %d, junior %v", v.Own.Process, v.Junior)
 		}
 	}
 	step(young)
@@ -89,11 +89,11 @@
 	if err := os.WriteFile(dir+"/"+files[0].Name(), []byte("rubbish"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	if own, alone, _ := p.turn(nil); !alone || own.Part != 1 {
-		t.Errorf("beside rubbish: %+v", own)
+	if v := p.turn(nil); !v.Alone || v.Own.Part != 1 {
+		t.Errorf("beside rubbish: %+v", v)
 	}
-	if own, alone, _ := p.turn(nil); !alone || own.Part != 1 {
-		t.Errorf("beside rubbish: %+v", own)
+	if v := p.turn(nil); !v.Alone || v.Own.Part != 1 {
+		t.Errorf("beside rubbish: %+v", v)
 	}
 	if err := os.RemoveAll(dir); err != nil {
 		t.Fatal(err)
--- a/internal/overlap/overlap.go
+++ b/internal/overlap/overlap.go
@@ -48,10 +48,16 @@
 	return m.own.Part
 }
 
-// Turn is a beat: it takes in the others' records, and returns the one to be written before the part is acted upon. A part
-// shrinks at once and grows only to what the others leave free. Joined: there is another one that is younger, to which
-// what was learned is to be handed over.
-func (m *Member) Turn(now float64, others []Record) (own Record, alone, joined bool) {
+// View is what a beat finds.
+type View struct {
+	Own     Record  // to be written before the part is acted upon
+	Alone   bool    // there is no other process
+	Junior  bool    // there is an older one
+	Younger []int64 // those to which what was learned is to be handed over
+}
+
+// Turn is a beat: it takes in the others' records. A part shrinks at once and grows only to what the others leave free.
+func (m *Member) Turn(now float64, others []Record) (v View) {
 	live := slices.DeleteFunc(slices.Clone(others), func(r Record) bool {
 		// A beat far ahead is of a clock that has gone back since: nobody is to wait for it.
 		return r.Process == m.own.Process || now-r.Beat > Lease || r.Beat-now > Lease
@@ -70,7 +76,12 @@
 		} else {
 			staying++
 		}
-		joined = joined || !r.Leaving && (r.Born > m.own.Born || r.Born == m.own.Born && r.Process > m.own.Process)
+		switch younger := r.Born > m.own.Born || r.Born == m.own.Born && r.Process > m.own.Process; {
+		case !younger:
+			v.Junior = true
+		case !r.Leaving:
+			v.Younger = append(v.Younger, r.Process)
+		}
 	}
 	aim := leavingPart / float64(max(1, leaving))
 	switch {
@@ -87,5 +98,6 @@
 	}
 	m.own.Part = min(aim, max(m.own.Part, free))
 	m.own.Beat, m.seen = now, true
-	return m.own, len(live) == 0, joined
+	v.Own, v.Alone = m.own, len(live) == 0
+	return v
 }
--- a/internal/overlap/overlap_test.go
+++ b/internal/overlap/overlap_test.go
@@ -48,8 +48,8 @@
 			if tc.leaves {
 				m.Leave()
 			}
-			own, alone, joined := m.Turn(now, tc.others)
-			got := fmt.Sprintf("%.2f %v %v", own.Part, alone, joined)
+			v := m.Turn(now, tc.others)
+			got := fmt.Sprintf("%.2f %v %v", v.Own.Part, v.Alone, len(v.Younger) > 0)
 			if diff := cmp.Diff(fmt.Sprintf("%.2f %v %v", tc.part, tc.alone, tc.joined), got); diff != "" {
 				t.Error(diff)
 			}
@@ -94,8 +94,8 @@
 				for _, r := range files {
 					others = append(others, r)
 				}
-				own, _, _ := p.Turn(now, others)
-				files[own.Process] = own
+				v := p.Turn(now, others)
+				files[v.Own.Process] = v.Own
 			}
 		}
 		sum, awake := 0.0, 0
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net"
-	"strconv"
 	"time"
 
 	"mulleinrouter/internal/http1"
@@ -131,11 +130,3 @@
 	}
 	return link.Broke
 }
-
-// appendFraming tells how the end of a long body is known.
-func appendFraming(b []byte, u Upload) []byte {
-	if n := u.Length(); n >= 0 {
-		return http1.AppendField(b, "Content-Length", strconv.FormatInt(n, 10))
-	}
-	return http1.AppendField(b, "Transfer-Encoding", "chunked")
-}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -241,11 +241,7 @@
 
 // streams tells whether an answer's body is passed on as it comes, by whoever answers the client.
 func streams(head *http1.Response) bool {
-	if head == nil || head.Status != 200 {
-		return false
-	}
-	long, _ := head.Large()
-	return long
+	return head != nil && head.Status == 200 && head.Large()
 }
 
 // read takes the answer, and its body if it is the client's and is not streamed. Without an error there is a head.
@@ -276,9 +272,9 @@
 	b = append(b, m.Fields...)
 	switch {
 	case m.Upload != nil:
-		return append(appendFraming(b, m.Upload), "\r\n"...)
+		return append(http1.AppendFraming(b, m.Upload.Length()), "\r\n"...)
 	case len(m.Trailer) > 0:
-		b = append(b, "Transfer-Encoding: chunked\r\n\r\n"...)
+		b = append(http1.AppendFraming(b, -1), "\r\n"...)
 		if len(m.Body) > 0 {
 			b = append(strconv.AppendInt(b, int64(len(m.Body)), 16), "\r\n"...)
 			b = append(append(b, m.Body...), "\r\n"...)
