--- a/internal/attempt/desk.go
+++ b/internal/attempt/desk.go
@@ -1,6 +1,7 @@
 package attempt
 
 import (
+	"cmp"
 	"fmt"
 
 	"mulleinrouter/passhub"
@@ -27,7 +28,7 @@
 	Backend    string          // of a Send
 	Until      passhub.Seconds // when to give a Send up, module time
 	RetryAfter passhub.Seconds // of a Refuse; 0: no advice
-	Beyond     bool            // of a Send: the request is beyond its quota
+	Beyond     bool            // of a Send or a Refuse: the request is beyond its quota
 }
 
 // Request is one in the module's hands.
@@ -104,10 +105,15 @@
 	d.most, d.once, d.wrong = max(1, most), map[string]bool{}, map[string]bool{}
 	for _, c := range classes {
 		d.once[c.Name] = c.Effect != passhub.Safe
-		d.wrong[c.Name] = c.Effect == passhub.Unsafe || c.Effect == passhub.Keyed && c.Scope != passhub.ScopeAll
+		d.wrong[c.Name] = wrong(&c)
 	}
 }
 
+// wrong tells whether a client's repeat of a request of this class may run again.
+func wrong(c *passhub.Class) bool {
+	return c.Effect == passhub.Unsafe || c.Effect == passhub.Keyed && c.Scope != passhub.ScopeAll
+}
+
 // Retune goes by other classes and another number of attempts for requests that come from now on; those in hand keep
 // what their life began with. The gateway is told too.
 func (d *Desk) Retune(classes []passhub.Class, most int) {
@@ -140,6 +146,12 @@
 // Bad names those that this gateway finds bad.
 func (d *Desk) Bad(now passhub.Seconds) []string { return d.gateway.Bad(now) }
 
+// Members tells how many gateways there are, and through how many of them customers may come.
+func (d *Desk) Members(gateways, doors int) {
+	d.gateway.Members(gateways)
+	d.gateway.Doors(doors)
+}
+
 // Open is how many requests are in hand.
 func (d *Desk) Open() int { return len(d.open) }
 
@@ -148,6 +160,9 @@
 	d.last++
 	r.ID = d.last
 	q := &Request{Host: host, id: d.last, deadline: now + r.Left, long: r.Long, life: Life{Once: d.once[r.Class], Wrong: d.wrong[r.Class], Most: d.most}}
+	if c := r.Kind; c != nil {
+		q.life = Life{Once: c.Effect != passhub.Safe, Wrong: wrong(c), Most: cmp.Or(c.Attempts, d.most)}
+	}
 	d.open[q.id] = q
 	return q, d.Handle(now, r)
 }
@@ -220,7 +235,7 @@
 			d.send(now, a)
 		case passhub.Refuse:
 			if q := d.open[a.ID]; q != nil && q.life.phase != Deserted {
-				d.say(q, q.life.Refuse(), Decision{Kind: Refuse, RetryAfter: a.RetryAfter})
+				d.say(q, q.life.Refuse(), Decision{Kind: Refuse, RetryAfter: a.RetryAfter, Beyond: a.Beyond})
 			}
 		case passhub.Fail:
 			if q := d.open[a.ID]; q != nil && q.life.phase != Deserted {
--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -51,6 +51,15 @@
 	wholeSoon  = 0.1  // s: a client that means it sends a request whole at once
 )
 
+// Times are for how long a client's connection may do nothing, in seconds.
+type Times struct {
+	Silent, Idle float64 // until its first byte; between requests
+	Head         float64 // for the head of a request
+}
+
+// usual are those of a deployment that states none.
+var usual = Times{Silent: silentMost, Idle: idleMost, Head: headMost}
+
 // Codes of the log's lines, where a connection is ended from here.
 const (
 	CodeRoom   = "client-room"
@@ -72,8 +81,12 @@
 	asks  bool            // idle, but bytes of a request are here
 	code  string          // why it is being ended from here; "": it is not
 	pace  Pace
+	times *Times // nil: the usual ones
 }
 
+// Keep sets the times that it goes by.
+func (c *Conn) Keep(t *Times) { c.times = t }
+
 // Accepted returns the machine of a connection that has just been accepted.
 func Accepted(now passhub.Seconds) Conn { return Conn{since: now, fresh: true} }
 
@@ -123,10 +136,10 @@
 
 // Due tells what it is to be ended for at this time; "": nothing.
 func (c *Conn) Due(now passhub.Seconds) (code string) {
-	age := now - c.since
+	age, times := now-c.since, cmp.Or(c.times, &usual)
 	switch c.state {
 	case Head: // also one that was ended as unused when its first byte came
-		if age > headMost && !mutated("head-for-ever") {
+		if age > times.Head && !mutated("head-for-ever") {
 			return CodeSlow
 		}
 	case Body, Uploading, Skipping:
@@ -140,9 +153,9 @@
 	case Idle:
 		switch {
 		case c.code != "":
-		case c.fresh && age > silentMost:
+		case c.fresh && age > times.Silent:
 			return CodeSilent
-		case !c.fresh && age > idleMost:
+		case !c.fresh && age > times.Idle:
 			return CodeIdle
 		}
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -30,6 +30,10 @@
 	return &Clock{base: now, unix: float64(now.UnixNano()) / 1e9}
 }
 
+// NewClockAt returns a clock that reads so many seconds now: the time of those who keep the counters, where the time of day is not to
+// be believed.
+func NewClockAt(now passhub.Seconds) *Clock { return &Clock{base: time.Now(), unix: now} }
+
 // Time is the time of a moment of the module's.
 func (c *Clock) Time(at passhub.Seconds) time.Time {
 	return c.base.Add(time.Duration((at - c.unix) * float64(time.Second)))
@@ -128,6 +132,11 @@
 
 // Counted tells what came of a counter call.
 func (e *Engine) Counted(name string, outcome passhub.Outcome, total float64) {
+	e.CountedOf(name, outcome, total, 0)
+}
+
+// CountedOf tells what came of a call of counters that are pairs: the sum, and how many gateways it is from.
+func (e *Engine) CountedOf(name string, outcome passhub.Outcome, total float64, holders int) {
 	if s := e.sharer.Load(); s != nil {
 		outcome = (*s).Counted(name, outcome, total)
 	}
@@ -135,7 +144,7 @@
 		if e.counts.calls++; outcome != passhub.Done {
 			e.counts.unanswered++
 		}
-		return e.desk.Handle(now, passhub.Counted{Name: name, Outcome: outcome, Total: total})
+		return e.desk.Handle(now, passhub.Counted{Name: name, Outcome: outcome, Total: total, Holders: holders})
 	})
 }
 
@@ -180,6 +189,13 @@
 	e.desk.Hold(now, all, now+lease)
 }
 
+// Members tells how many gateways there are, and through how many of them customers may come.
+func (e *Engine) Members(gateways, doors int) {
+	e.mu.Lock()
+	e.desk.Members(gateways, doors)
+	e.mu.Unlock()
+}
+
 // Warn tells the module of servers that others find bad.
 func (e *Engine) Warn(servers []string) {
 	e.mu.Lock()
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -20,7 +20,7 @@
 	MaxHead = 16 << 10
 	// MaxBody is the most of a body that is read whole. A longer one is passed on as it comes.
 	MaxBody = 64 << 10
-	// MostBody is the most that a request may carry.
+	// MostBody is the most that a request may carry, where the reader is not told another.
 	MostBody = 32 << 20
 
 	mostInterim   = 8        // 1xx answers before one: a server could else send them without end
@@ -40,6 +40,7 @@
 
 // Reader reads the messages of one connection.
 type Reader struct {
+	Most  int64 // bytes of a request's body; 0: MostBody
 	limit io.LimitedReader
 	buf   *bufio.Reader
 	text  textproto.Reader
@@ -135,7 +136,7 @@
 	}
 	r.Old = proto == "HTTP/1.0"
 	r.Close = closes(r.Header, proto)
-	if r.framing, err = framingOf(r.Header, MostBody); err != nil {
+	if r.framing, err = framingOf(r.Header, cmp.Or(m.Most, MostBody)); err != nil {
 		return nil, err
 	}
 	if r.chunked && r.Old {
@@ -173,7 +174,7 @@
 		r.Body, r.Trailer = begin, rest.trailer
 		return nil
 	}
-	r.Long = &Body{Length: -1, begin: begin, rest: rest, left: MostBody}
+	r.Long = &Body{Length: -1, begin: begin, rest: rest, left: cmp.Or(m.Most, MostBody)}
 	return nil
 }
 
@@ -464,9 +465,9 @@
 func Visible(s string) bool { return visible(s) }
 
 var reasons = map[int]string{
-	200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict",
+	200: "OK", 201: "Created", 202: "Accepted", 204: "No Content", 400: "Bad Request", 401: "Unauthorized", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict",
 	413: "Content Too Large", 417: "Expectation Failed", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
-	502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
+	500: "Internal Server Error", 502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
 }
 
 // AppendHead begins an answer: the status line and the length of the body. Headers may follow; an
@@ -499,6 +500,15 @@
 	return AppendField(b, "Content-Length", strconv.FormatInt(length, 10))
 }
 
+// AppendRequestLine begins a request: its line, and the host.
+func AppendRequestLine(b []byte, method, target, host string) []byte {
+	b = append(b, method...)
+	b = append(b, ' ')
+	b = append(b, target...)
+	b = append(b, " HTTP/1.1\r\n"...)
+	return AppendField(b, "Host", host)
+}
+
 // AppendField adds a header.
 func AppendField(b []byte, name, value string) []byte {
 	b = append(b, name...)
--- a/internal/ingress/body.go
+++ b/internal/ingress/body.go
@@ -110,7 +110,7 @@
 		}
 	}
 	n, err = u.body.Read(p)
-	if errors.Is(err, io.EOF) && http1.Misplaced(u.body.Trailer(), deciding) {
+	if errors.Is(err, io.EOF) && http1.Misplaced(u.body.Trailer(), u.conn.server.dialect.Deciding) {
 		err = fmt.Errorf("%w: a trailer states what belongs in the head", http1.ErrFraming) // the last chunk has not gone out
 	}
 	if err == nil {
@@ -128,7 +128,9 @@
 func (u *upload) Length() int64 { return u.body.Length }
 
 // AppendLast ends a chunked one, with the client's trailer.
-func (u *upload) AppendLast(b []byte) []byte { return http1.AppendLast(b, u.body.Trailer(), deciding) }
+func (u *upload) AppendLast(b []byte) []byte {
+	return http1.AppendLast(b, u.body.Trailer(), u.conn.server.dialect.Deciding)
+}
 
 // Spent tells whether something of it has been read.
 func (u *upload) Spent() bool { return u.spent }
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -150,28 +150,28 @@
 
 // refuseMessage answers what is no request. The place where the next one would begin is lost.
 func (c *conn) refuseMessage(err error) (code string) {
-	p := problem{status: 400}
+	p := Problem{Status: 400}
 	switch {
 	case errors.Is(err, http1.ErrStartLine):
-		p.code, p.text = "client-bad-request-line", "broken request line"
+		p.Code, p.Text = "client-bad-request-line", "broken request line"
 	case errors.Is(err, http1.ErrHeader):
-		p.code, p.text = "client-bad-header", "broken header"
+		p.Code, p.Text = "client-bad-header", "broken header"
 	case errors.Is(err, http1.ErrFraming):
-		p.code, p.text = "client-bad-length", "broken length or transfer coding"
+		p.Code, p.Text = "client-bad-length", "broken length or transfer coding"
 	case errors.Is(err, http1.ErrHeadTooLarge):
-		p.status, p.code, p.text = 431, "client-head-too-large", "request line and headers too large"
+		p.Status, p.Code, p.Text = 431, "client-head-too-large", "request line and headers too large"
 	case errors.Is(err, http1.ErrBodyTooLarge):
-		p.status, p.code, p.text = 413, "client-body-too-large", "body too large"
+		p.Status, p.Code, p.Text = 413, "client-body-too-large", "body too large"
 	case errors.Is(err, http1.ErrExpect):
-		p.status, p.code, p.text = 417, "client-bad-expectation", "an expectation that cannot be met"
+		p.Status, p.Code, p.Text = 417, "client-bad-expectation", "an expectation that cannot be met"
 	case c.ended() == client.CodeSlow:
-		p.status, p.code, p.text = 408, client.CodeSlow, "the request did not come to its end"
+		p.Status, p.Code, p.Text = 408, client.CodeSlow, "the request did not come to its end"
 	default:
 		return "" // the connection itself ended
 	}
 	c.answerProblem(&p, true)
 	c.unread = lingerMost
-	return p.code
+	return p.Code
 }
 
 // lastOf tells whether the connection ends with this answer.
@@ -194,13 +194,13 @@
 
 // pass passes on a quote server's whole answer. One to HEAD tells of a body that does not come.
 func (c *conn) pass(head *http1.Response, body []byte, last bool) error {
-	b := http1.AppendStatus(c.out[:0], 200)
+	b := http1.AppendStatus(c.out[:0], head.Status)
 	if !c.bodiless {
 		b = http1.AppendLength(b, len(body))
 	} else if length := head.Header.Get("Content-Length"); length != "" {
 		b = http1.AppendField(b, "Content-Length", length)
 	}
-	return c.send(http1.AppendFields(b, head.Header, reports), body, last)
+	return c.send(http1.AppendFields(b, head.Header, c.server.dialect.Reports), body, last)
 }
 
 // answer writes a whole answer at once.
@@ -212,12 +212,15 @@
 	return c.send(b, body, last)
 }
 
-func (c *conn) answerProblem(p *problem, last bool) error {
-	body := []byte(p.code + ": " + p.text + "\n")
-	b := http1.AppendHead(c.out[:0], p.status, len(body))
+func (c *conn) answerProblem(p *Problem, last bool) error {
+	body := []byte(p.Code + ": " + p.Text + "\n")
+	b := http1.AppendHead(c.out[:0], p.Status, len(body))
 	b = http1.AppendField(b, "Content-Type", "text/plain")
-	if p.allow != "" {
-		b = http1.AppendField(b, "Allow", p.allow)
+	if p.Allow != "" {
+		b = http1.AppendField(b, "Allow", p.Allow)
+	}
+	if p.RetryAfter > 0 {
+		b = http1.AppendSeconds(b, "Retry-After", p.RetryAfter)
 	}
 	return c.send(b, body, last)
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -45,6 +45,7 @@
 	// About is what the readiness page says of the fleet, in X-Fleet; nil: nothing. It is set before Serve.
 	About func() string
 
+	dialect   Dialect
 	engine    *engine.Engine
 	pool      *upstream.Pool
 	log       *logrus.Logger
@@ -75,6 +76,7 @@
 		ingresses: max(1, s.Balancers), mostUnits: cmp.Or(s.MaxUnits, mostUnits), most: most,
 		conns: map[*conn]struct{}{}, ids: map[string]struct{}{}, base: time.Now(),
 	}
+	srv.dialect = Dialect{Ready: "/ready", Parse: srv.parse, Deciding: deciding, Reports: reports}
 	srv.room.L = &srv.mu
 	srv.halt, srv.halted = context.WithCancel(context.Background())
 	srv.SetClasses(s.Classes)
@@ -86,6 +88,9 @@
 	return srv
 }
 
+// Speak has it speak another dialect. It is called before Serve.
+func (s *Server) Speak(d Dialect) { s.dialect = d }
+
 // SetClasses says which classes clients may name from now on; the class fixes the method. A request that is in hand
 // keeps what it was read with.
 func (s *Server) SetClasses(classes []passhub.Class) {
@@ -126,6 +131,12 @@
 		c := &conn{Conn: nc, server: s, life: client.Accepted(s.seconds(time.Now())),
 			watch: make(chan *engine.Ticket), arrived: make(chan error, 1)}
 		c.reader = http1.NewReader(c)
+		if s.dialect.Times != nil {
+			c.life.Keep(s.dialect.Times())
+		}
+		if s.dialect.MostBody != nil {
+			c.reader.Most = s.dialect.MostBody()
+		}
 		s.add(c)
 		go c.run()
 	}
@@ -135,21 +146,21 @@
 // connection ends with it.
 func (c *conn) serve(r *http1.Request) (code string, err error) {
 	s := c.server
-	if r.Target == "/ready" {
+	if r.Target == s.dialect.Ready {
 		return c.ready(r)
 	}
 	s.figures.active.Add(1)
 	defer s.figures.active.Add(-1)
-	request, message, bad := s.parse(r)
+	request, message, bad := s.dialect.Parse(r)
 	if bad == nil && !s.claim(message.ID) {
-		bad = &problem{status: 409, code: "request-id-in-use", text: "X-Request-ID is that of a request in hand"}
+		bad = &Problem{Status: 409, Code: "request-id-in-use", Text: "X-Request-ID is that of a request in hand"}
 	} else if bad == nil {
 		defer s.free(message.ID)
 	}
 	if bad != nil {
-		s.log.WithFields(logrus.Fields{"code": bad.code, "status": bad.status}).Warn("bad request")
+		s.log.WithFields(logrus.Fields{"code": bad.Code, "status": bad.Status}).Warn("bad request")
 		if class := r.Header.Get(keyClass); class != "" {
-			s.figures.of(class).count(bad.status)
+			s.figures.of(class).count(bad.Status)
 		}
 		c.unwatched(r)
 		return c.lastOf(r, c.answerProblem(bad, ends(r)))
@@ -168,6 +179,7 @@
 	}
 	var bill account
 	defer bill.close()
+	var last upstream.Result // of the attempts, with the server's own answer
 	for {
 		switch d := ticket.Next(); d.Kind {
 		case engine.Send:
@@ -177,15 +189,16 @@
 			result := s.pool.Do(ctx, d.Backend, message, d.Until)
 			counts.tried(result.Writes)
 			bill.arrival = max(bill.arrival, usage.ArrivalOf(result.Outcome, result.Answered))
+			last = result
 			if result.Outcome == passhub.Done && result.Stream != nil {
 				ticket.Ended(result.Outcome) // served: what follows is the body's way to the client
-				counts.count(200)
+				counts.count(result.Head.Status)
 				r.Close = r.Close || r.Old && result.Stream.Length < 0
 				return c.lastOf(r, c.relay(result.Head, result.Stream, ends(r)))
 			}
 			if result.Outcome == passhub.Done {
 				err = c.pass(result.Head, result.Body, ends(r))
-				counts.count(200)
+				counts.count(result.Head.Status)
 				ticket.Ended(result.Outcome)
 				return c.lastOf(r, err)
 			}
@@ -194,9 +207,17 @@
 			}
 			ticket.Ended(result.Outcome)
 		case engine.Refuse:
-			counts.count(503)
-			return c.lastOf(r, c.answer(503, d.RetryAfter, nil, ends(r)))
+			status := 503
+			if d.Beyond && s.dialect.Beyond > 0 {
+				status = s.dialect.Beyond
+			}
+			counts.count(status)
+			return c.lastOf(r, c.answer(status, d.RetryAfter, nil, ends(r)))
 		case engine.Fail:
+			if s.dialect.PassFailures && last.Outcome == passhub.Failed && last.Head != nil {
+				counts.count(last.Head.Status)
+				return c.lastOf(r, c.pass(last.Head, last.Body, ends(r)))
+			}
 			counts.count(502)
 			return c.lastOf(r, c.answer(502, 0, nil, ends(r)))
 		case engine.Gone:
--- a/internal/ingress/relay.go
+++ b/internal/ingress/relay.go
@@ -16,7 +16,8 @@
 // server's did, else the body is chunked; a client whose answer is cut can tell: errAnswerCut.
 func (c *conn) relay(head *http1.Response, st *upstream.Stream, last bool) error {
 	defer st.Close()
-	b := http1.AppendStatus(c.out[:0], 200)
+	reports := c.server.dialect.Reports
+	b := http1.AppendStatus(c.out[:0], head.Status)
 	chunked := st.Length < 0 && !c.old
 	if chunked || st.Length >= 0 {
 		b = http1.AppendFraming(b, st.Length)
--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"mulleinrouter/internal/client"
 	"mulleinrouter/internal/http1"
 	"mulleinrouter/internal/upstream"
 	"mulleinrouter/passhub"
@@ -31,17 +32,36 @@
 // reports are the fields in which quote servers tell the ingress something: clients do not get them.
 var reports = map[string]bool{"X-Server-Load": true, "X-Not-Processed": true}
 
-// problem is a request that cannot be handed to the module: the client's fault.
-type problem struct {
-	status     int
-	code, text string
-	allow      string // method, for a 405
+// Problem is a request that cannot be handed to the module: the client's fault, or that of who does not know yet.
+type Problem struct {
+	Status     int
+	Code, Text string
+	Allow      string          // method, for a 405
+	RetryAfter passhub.Seconds // 0: no advice
+}
+
+// Dialect is what clients are answered in. The zero value is that of the deployments in service.
+type Dialect struct {
+	// Ready is the path of the readiness page.
+	Ready string
+	// Parse translates a client's request. It decides nothing.
+	Parse func(*http1.Request) (passhub.Request, *upstream.Message, *Problem)
+	// Deciding are the fields that are not passed on to servers, Reports those that are not passed on to clients.
+	Deciding, Reports map[string]bool
+	// Beyond is the status of a refusal for a quota's sake; 0: 503 as any other.
+	Beyond int
+	// PassFailures has a server's own answer passed on where it failed and nothing else can be done.
+	PassFailures bool
+	// Times are those of clients' connections; nil: the usual ones. MostBody is for a request's body, in bytes; 0: the usual one. They
+	// are asked for each connection.
+	Times    func() *client.Times
+	MostBody func() int64
 }
 
 // parse translates a client's request. Nothing here decides what becomes of it.
-func (s *Server) parse(r *http1.Request) (request passhub.Request, m *upstream.Message, bad *problem) {
-	fail := func(status int, code, text string) (passhub.Request, *upstream.Message, *problem) {
-		return passhub.Request{}, nil, &problem{status: status, code: code, text: text}
+func (s *Server) parse(r *http1.Request) (request passhub.Request, m *upstream.Message, bad *Problem) {
+	fail := func(status int, code, text string) (passhub.Request, *upstream.Message, *Problem) {
+		return passhub.Request{}, nil, &Problem{Status: status, Code: code, Text: text}
 	}
 	path, _, _ := strings.Cut(r.Target, "?")
 	member, ok := strings.CutPrefix(path, pathPrefix)
@@ -69,7 +89,7 @@
 	}
 	if r.Method != method && (method != "GET" || r.Method != "HEAD") {
 		_, _, bad = fail(405, "request-wrong-method", "this class goes by "+method)
-		bad.allow = method
+		bad.Allow = method
 		return request, nil, bad
 	}
 	request.Plan = r.Header.Get(keyPlan)
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -22,13 +22,33 @@
 	tokens        float64
 	tried, failed float64 // lately, older ones count less
 	at            float64 // when that was reckoned, in seconds
+
+	share, most float64
+	slack       float64 // over all ingresses; 0: the budget is not divided, and what was turned away costs nothing while the group is well
+}
+
+// Divided returns the budget of one of so many ingresses where all of them together may make so large a share of further attempts, and
+// the slack beyond it in a window: each saves up its part of the slack. What a server turned away has arrived there, and costs a token too.
+func Divided(share, slack float64, ingresses int) Budget {
+	b := Budget{share: share, slack: slack}
+	b.Divide(ingresses)
+	b.tokens = b.most
+	return b
+}
+
+// Divide tells how many ingresses share a divided budget now.
+func (b *Budget) Divide(ingresses int) {
+	if b.slack > 0 {
+		b.most = max(1, b.slack/float64(max(1, ingresses)))
+		b.tokens = min(b.tokens, b.most)
+	}
 }
 
 // New returns a budget with some tokens.
-func New() Budget { return Budget{tokens: first} }
+func New() Budget { return Budget{tokens: first, share: share, most: most} }
 
 // First tells of a request's first attempt.
-func (b *Budget) First() { b.tokens = min(most, b.tokens+share) }
+func (b *Budget) First() { b.tokens = min(b.most, b.tokens+b.share) }
 
 // Ended tells how an attempt ended: served, or in any other way that is the server's. Now is in seconds.
 func (b *Budget) Ended(now float64, served bool) {
@@ -52,7 +72,7 @@
 // Again tells whether a further attempt may be made, and takes a token if it costs one. Proven: the last one surely has
 // not run. Crowded: first attempts wait for a server; they go before what may have run.
 func (b *Budget) Again(now float64, proven, crowded bool) bool {
-	if proven && !b.Failing(now) {
+	if proven && !b.Failing(now) && b.slack == 0 {
 		return true
 	}
 	if b.tokens < 1 || !proven && crowded {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -38,8 +38,31 @@
 	Keepalive      time.Duration // the servers close connections idle for this long
 }
 
+// Dialect is what servers are spoken to in. That of the deployments in service is its zero value.
+type Dialect struct {
+	// Begin appends a request's line and the fields that concern the attempt. Nil: as in service.
+	Begin func(b []byte, m *Message, backend string, left time.Duration) []byte
+	// Meaning is what an answer means to the request it came behind. Nil: as in service.
+	Meaning func(m *Message, a *http1.Response) Meaning
+}
+
+// Meaning is what an answer means.
+type Meaning uint8
+
+// The meanings.
+const (
+	Served  Meaning = iota // it is the request's answer, whatever it says
+	Refused                // it says that the request has not run
+	Failed                 // the server failed, and the request may have run
+	Foreign                // it answers another request: what is behind it may be this one's
+	Broken                 // it is no answer in the protocol
+)
+
 // Pool keeps the connections to all backends.
 type Pool struct {
+	// Dialect is set before the first attempt.
+	Dialect Dialect
+
 	lookup Lookup
 	limits Limits
 	log    *logrus.Logger
@@ -77,6 +100,8 @@
 	Method, Target, ID string
 	Fields             []byte // further fields of its head, as they are written
 	Body               []byte
+	Host, Tenant       string               // in a dialect that knows them
+	Once               bool                 // it must not run twice, whatever its method
 	Trailer            textproto.MIMEHeader // behind Body, which then goes out in one chunk; nil: none
 	Upload             Upload               // a body that is too long to be held; Body is then nil
 }
@@ -113,7 +138,7 @@
 		}
 		v, head, body, err := p.attempt(ctx, c, m, until, &writes)
 		err = cmp.Or(err, v.Err)
-		if streams(head) {
+		if p.streams(m, head) {
 			s := &Stream{pool: p, c: c, keep: v.Keep && !head.Close, body: c.reader.Stream(head)}
 			s.Length = s.body.Length
 			return Result{Outcome: v.Outcome, Answered: v.Answered, Writes: writes, Head: head, Stream: s}
@@ -144,11 +169,11 @@
 	c.SetDeadline(until)
 	buf := buffers.Get().(*[]byte)
 	defer buffers.Put(buf)
-	*buf = appendRequest((*buf)[:0], m, left)
+	*buf = p.appendRequest((*buf)[:0], m, c.backend, left)
 	if m.Upload != nil {
 		answered, err := p.upload(ctx, c, m, *buf, until)
 		if err != nil && answered {
-			a, head, body, err := read(c.reader, false)
+			a, head, body, err := p.read(c.reader, m)
 			if err == nil {
 				return c.Early(a), head, body, nil
 			}
@@ -160,7 +185,7 @@
 			}
 			return c.Unwritten(how), nil, nil, err
 		}
-	} else if whole, err := p.write(ctx, c, *buf, !m.safe()); !whole {
+	} else if whole, err := p.write(ctx, c, *buf, m.Once || !m.safe()); !whole {
 		if ctx.Err() != nil || errors.Is(err, errLeaving) {
 			return c.Unwritten(link.Cancelled), nil, nil, err // nothing ran, and the server is not to blame
 		}
@@ -170,7 +195,7 @@
 	c.Written()
 	*writes++
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(longAgo) })
-	a, head, body, err := read(c.reader, m.Method == "HEAD")
+	a, head, body, err := p.read(c.reader, m)
 	cancelled := !stop() // then the deadline may be changed at any time from now on
 	if err != nil {
 		how := trouble(ctx, err)
@@ -232,43 +257,82 @@
 		return link.Cancelled
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return link.Late
-	case errors.Is(err, http1.ErrStartLine), errors.Is(err, http1.ErrHeader), errors.Is(err, http1.ErrFraming),
+	case errors.Is(err, errBroken), errors.Is(err, http1.ErrStartLine), errors.Is(err, http1.ErrHeader), errors.Is(err, http1.ErrFraming),
 		errors.Is(err, http1.ErrHeadTooLarge), errors.Is(err, http1.ErrBodyTooLarge):
 		return link.Malformed
 	}
 	return link.Broke
 }
 
+// means is what an answer means.
+func (p *Pool) means(m *Message, head *http1.Response) Meaning {
+	if p.Dialect.Meaning != nil {
+		return p.Dialect.Meaning(m, head)
+	}
+	switch {
+	case head.Status == 200:
+		return Served
+	case (head.Status == 503 || head.Status == 504) && head.Header.Get("X-Not-Processed") == "1":
+		return Refused
+	}
+	return Failed
+}
+
 // streams tells whether an answer's body is passed on as it comes, by whoever answers the client.
-func streams(head *http1.Response) bool {
-	return head != nil && head.Status == 200 && head.Large()
+func (p *Pool) streams(m *Message, head *http1.Response) bool {
+	return head != nil && head.Large() && p.means(m, head) == Served
 }
 
+var errBroken = errors.New("no answer in the protocol")
+
+// mostForeign bounds the answers to other requests that are passed over before this one's: a server could send them without end.
+const mostForeign = 4
+
 // read takes the answer, and its body if it is the client's and is not streamed. Without an error there is a head.
-func read(r *http1.Reader, bodiless bool) (a link.Answer, head *http1.Response, body []byte, err error) {
-	if head, err = r.Response(bodiless); err != nil {
-		return a, nil, nil, err
-	}
-	if streams(head) { // what follows its body is looked at once that has been read
-		return link.Answer{Status: head.Status, Close: head.Close}, head, nil, nil
-	}
-	if body, err = r.Body(head); err != nil {
-		return a, nil, nil, err
+func (p *Pool) read(r *http1.Reader, m *Message) (a link.Answer, head *http1.Response, body []byte, err error) {
+	foreign := 0
+	for {
+		if head, err = r.Response(m.Method == "HEAD"); err != nil {
+			return a, nil, nil, err
+		}
+		meaning := p.means(m, head)
+		// A connection on which answers come that nobody asked for is not used again.
+		a = link.Answer{Status: head.Status, NotProcessed: meaning == Refused, Close: head.Close || foreign > 0}
+		switch meaning {
+		case Served:
+			a.Status = 200
+		case Refused:
+			a.Status = 503
+		}
+		if meaning == Served && head.Large() { // what follows its body is looked at once that has been read
+			return a, head, nil, nil
+		}
+		if body, err = r.Body(head); err != nil {
+			return a, nil, nil, err
+		}
+		if meaning == Foreign && foreign < mostForeign {
+			foreign++
+			continue
+		}
+		if meaning == Foreign || meaning == Broken {
+			return a, nil, nil, errBroken
+		}
+		a.More = r.Buffered() > 0
+		return a, head, body, nil
 	}
-	a = link.Answer{Status: head.Status, NotProcessed: head.Header.Get("X-Not-Processed") == "1", Close: head.Close, More: r.Buffered() > 0}
-	return a, head, body, nil
 }
 
 var buffers = sync.Pool{New: func() any { b := make([]byte, 0, 1024); return &b }}
 
 // appendRequest writes a request so that one write sends it whole.
-func appendRequest(b []byte, m *Message, left time.Duration) []byte {
-	b = append(b, m.Method...)
-	b = append(b, ' ')
-	b = append(b, m.Target...)
-	b = append(b, " HTTP/1.1\r\nHost: app.svc\r\n"...)
-	b = http1.AppendField(b, "X-Request-ID", m.ID)
-	b = http1.AppendSeconds(b, "X-Timeout", left.Seconds())
+func (p *Pool) appendRequest(b []byte, m *Message, backend string, left time.Duration) []byte {
+	if begin := p.Dialect.Begin; begin != nil {
+		b = begin(b, m, backend, left)
+	} else {
+		b = http1.AppendRequestLine(b, m.Method, m.Target, "app.svc")
+		b = http1.AppendField(b, "X-Request-ID", m.ID)
+		b = http1.AppendSeconds(b, "X-Timeout", left.Seconds())
+	}
 	b = append(b, m.Fields...)
 	switch {
 	case m.Upload != nil:
--- a/passhub/admission.go
+++ b/passhub/admission.go
@@ -9,7 +9,7 @@
 	if g.requests[e.ID] != nil {
 		return
 	}
-	class, terms := g.classes[e.Class], cmp.Or(e.Terms, g.plans[e.Plan])
+	class, terms := cmp.Or(e.Kind, g.classes[e.Class]), cmp.Or(e.Terms, g.plans[e.Plan])
 	if class == nil { // not in the settings: safe to refuse, never to repeat
 		class = &Class{Aim: e.Left, Worth: 1}
 	}
@@ -17,7 +17,8 @@
 		terms = &Terms{Plan: Plan{Price: 1}, Tag: "x"}
 	}
 	c := g.customer(e, terms)
-	r := &request{Request: e, class: class, c: c, arrived: g.now, dueAt: g.now + e.Left}
+	r := &request{Request: e, class: class, pool: g.group(e.Group), c: c, arrived: g.now}
+	r.dueAt = g.now + e.Left
 	r.aimAt = g.now + class.Aim - g.age(e, class)
 	g.requests[e.ID] = r
 	g.open = append(g.open, r)
@@ -48,7 +49,7 @@
 func (g *Gateway) admit(r *request) {
 	plan := r.c.plan
 	r.value = r.class.Worth * plan.Price
-	if r.spare = !r.inside; g.now+g.lat > r.aimAt {
+	if r.spare = !r.inside; g.now+r.pool.lat > r.aimAt {
 		r.value, r.spare = r.value*r.class.LateWorth, true
 	}
 	if !r.inside {
@@ -105,7 +106,7 @@
 	if !g.s.MayRetryAfter {
 		wait = 0
 	}
-	g.do(Refuse{r.ID, wait})
+	g.do(Refuse{r.ID, wait, !r.inside})
 	g.end(r)
 }
 
--- a/passhub/attempts.go
+++ b/passhub/attempts.go
@@ -8,6 +8,7 @@
 type request struct {
 	Request
 	class            *Class
+	pool             *pool // of the backends that it may go to
 	c                *customer
 	arrived, dueAt   Seconds
 	common           Seconds // the common part of the ceiling lets it through until then; 0: it does not
@@ -41,7 +42,8 @@
 
 // holdUntil is when a request that finds no backend is to be refused.
 func (r *request) holdUntil() Seconds {
-	return min(r.arrived+holdShare*r.class.Aim, r.aimAt, r.dueAt-2*tickEvery)
+	wait := cmp.Or(r.class.Hold, holdShare*r.class.Aim)
+	return min(r.arrived+wait, r.aimAt, r.dueAt-2*tickEvery)
 }
 
 func (g *Gateway) start(r *request, b *backend) {
@@ -56,7 +58,8 @@
 	if r.class.Effect == Safe && r.class.LateWorth == 0 && rest > 0 && rest+tickEvery <= r.dueAt-g.now {
 		timeout = rest + tickEvery // nothing is earned after the aim: free the backend
 		// Far beyond the usual time none will come (the connection fell silent): another can be in time.
-		if early := max(silentShare*r.class.Aim, silentTimes*g.lat); len(r.attempts) == 0 && 2*early < rest {
+		early := max(silentShare*r.class.Aim, silentTimes*r.pool.lat)
+		if len(r.attempts) == 0 && 2*early < rest {
 			timeout = early
 		}
 	}
@@ -71,12 +74,12 @@
 	if g.cold(b) < 1 {
 		b.tokens--
 	}
-	g.sentRate += 1 / sentSpan
+	r.pool.sentRate += 1 / sentSpan
 	if !b.good {
-		g.trials--
+		r.pool.trials--
 	}
 	if len(r.attempts) == 1 {
-		g.retries.First()
+		r.pool.retries.First()
 	}
 	g.do(Send{r.ID, b.ID, timeout, !r.inside})
 }
@@ -84,8 +87,9 @@
 // again decides what follows an attempt that was not served. What may have run is sent again if harmless.
 func (g *Gateway) again(r *request, proven, spent bool) {
 	late := g.now > r.aimAt && r.class.LateWorth == 0 || r.dueAt-g.now <= 2*g.s.AnswerSlack
-	if (r.class.Effect == Safe || !r.mayHaveRun()) && !late && !spent && len(r.attempts) < g.s.MaxAttempts {
-		if b := g.pick(r); b != nil && g.retries.Again(g.now, proven, len(g.held) > 0) {
+	most := cmp.Or(r.class.Attempts, g.s.MaxAttempts)
+	if (r.class.Effect == Safe || !r.mayHaveRun()) && !late && !spent && len(r.attempts) < most {
+		if b := g.pick(r); b != nil && r.pool.retries.Again(g.now, proven, len(g.held) > 0) {
 			g.start(r, b)
 			return
 		}
@@ -134,7 +138,7 @@
 	}
 	g.judge(b, r, a, e)
 	if e.Outcome != Cancelled && e.Outcome != Skipped {
-		g.retries.Ended(g.now, e.Outcome == Done)
+		r.pool.retries.Ended(g.now, e.Outcome == Done)
 	}
 	if e.Outcome == Done && e.Units > 0 && r.inside && r.c.plan.Rate > 0 && !r.answered {
 		r.c.level -= e.Units - r.Units
--- a/passhub/gateway.go
+++ b/passhub/gateway.go
@@ -1,12 +1,10 @@
 package passhub
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 
 	"mulleinrouter/internal/odds"
-	"mulleinrouter/internal/retry"
 )
 
 const (
@@ -69,23 +67,15 @@
 	classes              map[string]*Class
 	plans                map[string]*Terms // by their names in the settings
 	backends             map[string]*backend
-	order                []*backend // in this gateway's own order of use: maps are never walked
 	customers            map[string]*customer
 	known                []*customer
 	requests             map[uint64]*request
 	open, held           []*request // not yet answered, oldest first; waiting for a backend
 
-	lat      float64             // usual time of an answer, over the fleet
-	kinds    map[string]*float64 // the same by kind of backend
-	patience map[string]Seconds  // of a class: the longest that a client has left for an answer
-	size     float64             // mean told size of the backends on the list
-	listed   int                 // backends on the list that serve
-	reach    int                 // backends in use: the first of its order that are not resting
-	trials   float64             // attempts saved up for backends that are not known to be good
-	sharing  float64             // how many times more gateways use a backend than a few
-	warm     int                 // of those in use, the surely warm ones, half of them at least
-	retries  retry.Budget
-	sentRate float64 // sends a second
+	*pool                       // of the backends without a group
+	groups   map[string]*pool   // all of them, by group, and
+	pools    []*pool            // in the order in which they were heard of: maps are never walked
+	patience map[string]Seconds // of a class: the longest that a client has left for an answer
 
 	odds         odds.Odds
 	silent       int     // counter calls in a row without an answer
@@ -102,9 +92,9 @@
 	g := &Gateway{
 		s: s, rng: rand.New(rand.NewPCG(seed, 1)), classes: map[string]*Class{}, plans: map[string]*Terms{},
 		backends: map[string]*backend{}, customers: map[string]*customer{}, requests: map[uint64]*request{},
-		kinds: map[string]*float64{}, patience: map[string]Seconds{},
-		lat: latStart, size: 1, retries: retry.New(), chance: 1, rated: 1, trials: reachLeast,
+		groups: map[string]*pool{}, patience: map[string]Seconds{}, chance: 1, rated: 1,
 	}
+	g.pool = g.group("")
 	g.s.Balancers, g.s.MaxAttempts = max(1, s.Balancers), max(1, s.MaxAttempts)
 	for i := range s.Classes {
 		g.classes[s.Classes[i].Name] = &s.Classes[i]
@@ -154,35 +144,7 @@
 	g.do(SetTimer{g.now + tickEvery, "tick"})
 	dt := max(0, min(1, g.now-g.ticked))
 	g.ticked = g.now
-	g.sentRate *= math.Exp(-dt / sentSpan)
-	g.trials = min(reachLeast, g.trials+trialRate*dt)
-	g.extent()
-	g.order = slices.DeleteFunc(g.order, func(b *backend) bool {
-		// Servers come and go all day. Told of again, one is known by its start to be cold or warm.
-		gone := !(b.listed && b.Serving) && b.out == 0 && g.now-b.usedAt > idleLapse
-		if gone {
-			delete(g.backends, b.ID)
-		}
-		return gone
-	})
-	used, warm, size, fade := 0, 0, 0.0, math.Exp(-dt/seenSpan)
-	for _, b := range g.order {
-		if !b.listed || !b.Serving {
-			continue
-		}
-		size, b.seen = size+b.Size, b.seen*fade
-		if g.now >= b.downTill && used < g.reach {
-			if used++; g.cold(b) == 1 {
-				warm++
-			}
-		}
-		b.ghosts *= math.Exp(-dt / max(b.lat, g.lat))
-		if g.now-b.usedAt > 1 {
-			b.lat += latForget * dt * (*b.usual - b.lat)
-			b.errs -= latForget * dt * b.errs
-		}
-	}
-	g.warm, g.size = max(warm, (g.reach+1)/2), size/float64(max(1, g.listed))
+	g.passAll(dt)
 	g.release()
 	g.overdue()
 	g.known = slices.DeleteFunc(g.known, func(c *customer) bool {
--- a/passhub/hold.go
+++ b/passhub/hold.go
@@ -115,7 +115,7 @@
 
 // Bad names the servers that this gateway itself finds bad: it rests them after failures, or a good part of their answers lately were.
 func (g *Gateway) Bad(now Seconds) (all []string) {
-	for _, b := range g.order {
+	for b := range g.all() {
 		if b.listed && b.Serving && (b.downTill > now || b.errs > badShare) {
 			all = append(all, b.ID)
 		}
@@ -127,7 +127,7 @@
 // Warn tells of servers that others find bad. One that has answered well here a moment ago is not touched; another has to prove
 // itself, and costs more than those of which nothing is said. Nothing is done to a server that is not on the list.
 func (g *Gateway) Warn(now Seconds, servers []string) {
-	for _, b := range g.order {
+	for b := range g.all() {
 		if b.listed && slices.Contains(servers, b.ID) && !(b.good && b.bad == 0 && b.seen >= 1) {
 			b.good, b.errs = false, max(b.errs, badShare)
 		}
--- /dev/null
+++ b/passhub/keeper.go
@@ -0,0 +1,79 @@
+package passhub
+
+// Where the system keeps its own counters, they are pairs: what was asked in a cycle, summed over the gateways, and how many of these
+// it is from ("each ingress holding a slice adds r to one counter and 1 to another"). Cycles are named by the common clock of those who
+// keep them. The step is that of quotas.go. It is not part of the simulator's policy: there, a counter is one number.
+
+const (
+	smoothing = 0.5  // weight of a cycle in r: any r is pinned to the quota, and a noisy one moves slices for nothing
+	present   = 1e-6 // units a second: what a gateway adds that was asked nothing, so that it counts as a holder
+	lapse     = 2.4  // s without a report taken: its slice may be given to others soon (tally.Retain is 3.0)
+	young     = 10.0 // s from its start for which a gateway cannot know what the one before it has spent
+	youngPart = 0.25 // of its part of the burst, which it then begins with
+)
+
+// report adds what was asked here in the cycle that has closed. Every holder reports, also one that was asked little.
+func (g *Gateway) report(c *customer) {
+	if c.quota <= 0 || c.thin || !g.s.MayCount {
+		return
+	}
+	if c.calls = 1; g.now >= g.muted {
+		g.count(c, c.cycle, max(present, c.r))
+	}
+}
+
+// read takes a keeper's answer: to the report, and then to the call that reads both counters.
+func (g *Gateway) read(c *customer, e Counted) {
+	if c.calls == 1 {
+		c.ackedAt, c.readAt = g.now, g.now+readDelay
+		return
+	}
+	R, k := e.Total, float64(e.Holders)
+	if k < 1 || R < c.r*0.99-present {
+		return // it has not counted this gateway: frozen
+	}
+	c.doors = max(c.doors, k)
+	c.R, c.k, c.totalAt = R, k, g.now
+	g.fill(c)
+	c.step(c.quota * (1 - quietShare*(c.doors-k)/c.doors)) // who has not reported yet keeps its part
+}
+
+// step is the pinned step: the slice follows what is asked here, all slices together make up the quota, and where more is asked than
+// that, each has the same ratio of it.
+func (c *customer) step(left float64) {
+	if c.slice = c.r + (left-c.R)/c.k; c.R > left {
+		c.slice = left * c.r / c.R
+	}
+}
+
+// paced is the slice as it may be used now. Where counters are pairs, one whose reports are not taken any more falls back to the part
+// that others leave to those who do not report: a gateway that is cut off gets more careful.
+func (g *Gateway) paced(c *customer) float64 {
+	if g.s.Pairs && g.now-c.ackedAt > lapse && c.doors > 1 {
+		return min(c.slice, quietShare*c.quota/c.doors)
+	}
+	return c.slice
+}
+
+// store is what the local store of a new customer holds.
+func (g *Gateway) store(c *customer, t *Terms) float64 {
+	if g.s.Pairs && g.now-g.started < young {
+		return 1 + youngPart*t.Plan.Burst/c.doors
+	}
+	return t.Plan.Burst + max(1, g.s.MaxUnits)
+}
+
+// suffix ends the names of a customer's counters. Packed totals of two quotas must not be mixed; pairs say the same under any quota.
+func (g *Gateway) suffix(t *Terms) string {
+	if g.s.Pairs {
+		return ""
+	}
+	return "." + t.Tag
+}
+
+// Doors tells through how many gateways customers may come now, where that is learned.
+func (g *Gateway) Doors(n int) {
+	for _, c := range g.known {
+		c.doors = float64(max(1, n))
+	}
+}
--- a/passhub/passhub.go
+++ b/passhub/passhub.go
@@ -48,6 +48,15 @@
 	CostAfter bool    // units are guesses, settled by the first good answer
 	MaxUnits  float64 // the most units one request counts
 
+	Slots bool    // the size of a backend is the number of requests that it works on at a time
+	Afar  float64 // cost of a backend in another zone beside one in this gateway's own; 0: they are alike
+	Pairs bool    // counters tell a sum and how many gateways it is from (keeper.go), and are kept by the system's own nodes
+	Cycle Seconds // of these counters
+
+	// Further attempts to one group of backends, over all gateways: this share of the first ones, and so many beyond it. 0: each gateway
+	// goes by its own rule (internal/retry).
+	RetryShare, RetrySlack float64
+
 	// Of a gateway that is two processes for a while; Part sets them.
 	Absent float64 // how much of the gateway another process of it is; 0: this one is all of it
 	Junior bool    // another process reports this gateway to the counter as one that asks
@@ -81,6 +90,8 @@
 	Deadline  Seconds
 	Worth     float64
 	LateWorth float64 // share of the worth an answer after the aim earns
+	Attempts  int     // for one request of it; 0: as the settings say
+	Hold      Seconds // it waits no longer for a backend; 0: a part of its aim
 	Effect    Effect
 	Scope     Scope // of a keyed class
 }
@@ -114,6 +125,7 @@
 // Backend is one line of the list.
 type Backend struct {
 	ID      string
+	Group   string // requests go to backends of their own group
 	Zone    string
 	Kind    string  // of machine; those of a kind are alike
 	Serving bool    // false: draining or gone, send it nothing new
@@ -133,6 +145,8 @@
 type Request struct {
 	ID       uint64
 	Class    string
+	Kind     *Class // the class itself; nil: that of the settings with its name
+	Group    string // of the backends that it may go to
 	Plan     string
 	Customer string
 	Left     Seconds // until the client gives up
@@ -186,6 +200,7 @@
 	Name    string
 	Outcome Outcome
 	Total   float64
+	Holders int // gateways that it is from, where counters are pairs
 }
 
 func (Start) event()        {}
@@ -218,6 +233,7 @@
 type Refuse struct {
 	ID         uint64
 	RetryAfter Seconds // 0: no advice
+	Beyond     bool    // it is beyond its quota
 }
 
 // Fail answers a request: not served, and it may have run.
--- a/passhub/quotas.go
+++ b/passhub/quotas.go
@@ -12,8 +12,9 @@
 )
 
 type customer struct {
-	key, tag          string // tag: of its terms
-	hash              uint32 // of its key
+	key, tag, suffix  string  // tag: of its terms; suffix: of the names of its counters
+	ackedAt           Seconds // when a keeper last took a report, where counters are pairs
+	hash              uint32  // of its key
 	plan              *Plan
 	doors, quota      float64 // gateways it may use; what slices share: units a second, or attempts open
 	open              int     // attempts out
@@ -54,10 +55,10 @@
 		h := fnv.New32a()
 		h.Write([]byte(e.Customer))
 		c = &customer{key: e.Customer, hash: h.Sum32(), since: g.now, filled: g.now, totalAt: math.Inf(-1)}
-		c.doors = float64(max(1, e.Doors))
+		c.doors, c.ackedAt = float64(max(1, e.Doors)), g.now
 		g.adopt(c, t)
 		c.validFor = freshCycles * c.period
-		c.slice, c.level = c.quota/c.doors, t.Plan.Burst+max(1, g.s.MaxUnits) // fill cuts it
+		c.slice, c.level = c.quota/c.doors, g.store(c, t) // fill cuts it
 		c.share = 1 / c.doors
 		c.ceilFill = g.started // used up then: a gateway that was killed cannot know what it spent
 		g.customers[e.Customer] = c
@@ -70,12 +71,14 @@
 
 // adopt sets what follows from terms alone.
 func (g *Gateway) adopt(c *customer, t *Terms) {
-	c.plan, c.tag = &t.Plan, t.Tag
+	c.plan, c.tag, c.suffix = &t.Plan, t.Tag, g.suffix(t)
 	if c.quota = c.plan.Rate; c.quota <= 0 {
 		c.quota = float64(c.plan.Open)
 	}
-	c.period = min(cycleMax, max(cycleMin, cycleUnits/c.quota)) // without a quota it does not matter
-	c.phase = float64(c.hash%1024) / 1024 * c.period            // spreads the calls of a cycle over it
+	// Without a quota it does not matter.
+	c.period = cmp.Or(g.s.Cycle, min(cycleMax, max(cycleMin, cycleUnits/c.quota)))
+	// The phase spreads the calls of a cycle over it.
+	c.phase = float64(c.hash%1024) / 1024 * c.period
 	c.cycle = c.cycleAt(g.now)
 	if c.thin = c.quota > 0 && c.doors > 2*c.quota; c.plan.Rate > 0 {
 		c.thin = c.doors > 1 && min(c.quota*c.period/thinUnits, c.plan.Burst) < c.doors*max(1, g.s.MaxUnits)
@@ -96,7 +99,8 @@
 		g.fill(c)
 		part = c.slice / c.quota
 	}
-	if field, _ := c.pack(); g.s.MayCount && g.now >= g.muted && !c.thin && c.doors > 1 && c.quota > 0 {
+	field, _ := c.pack()
+	if !g.s.Pairs && g.s.MayCount && g.now >= g.muted && !c.thin && c.doors > 1 && c.quota > 0 {
 		for n := range int64(changeCycles + 1) {
 			g.do(Count{c.name(c.cycleAt(g.now) + n), field * c.doors, (changeCycles+1)*c.period + 1})
 		}
@@ -152,7 +156,8 @@
 // fill brings the local store up to now. It holds the slice's share of the burst; that of a thin customer the
 // share of its demand, the even one while nothing is known of it, and one request at least.
 func (g *Gateway) fill(c *customer) {
-	rate, most := c.slice, max(g.whole(c), c.plan.Burst*min(1, c.slice/c.quota))
+	slice := g.paced(c)
+	rate, most := slice, max(g.whole(c), c.plan.Burst*min(1, slice/c.quota))
 	if c.thin {
 		rate, most = g.rate(c)*c.share, max(1, g.s.MaxUnits, c.plan.Burst*c.share)
 	}
@@ -165,7 +170,7 @@
 func (c *customer) cycleAt(now Seconds) int64 { return int64(math.Floor((now - c.phase) / c.period)) }
 
 func (c *customer) name(cycle int64) string {
-	return c.key + "/" + strconv.FormatInt(cycle, 36) + "." + c.tag
+	return c.key + "/" + strconv.FormatInt(cycle, 36) + c.suffix
 }
 
 func (g *Gateway) count(c *customer, cycle int64, add float64) {
@@ -175,9 +180,17 @@
 // turn closes a customer's cycle and, where its demand nears the slice, adds it to the counter.
 func (g *Gateway) turn(c *customer) {
 	span := max(g.now-c.since, c.period/2)
-	c.r, c.demand, c.since = c.demand/span/max(0.1, g.part()), 0, g.now
+	r := c.demand / span / max(0.1, g.part())
+	if g.s.Pairs && !math.IsInf(c.totalAt, -1) {
+		r = c.r + smoothing*(r-c.r)
+	}
+	c.r, c.demand, c.since = r, 0, g.now
 	c.cycle = c.cycleAt(g.now)
 	c.readAt, c.calls = 0, 0
+	if g.s.Pairs {
+		g.report(c)
+		return
+	}
 	if c.quota <= 0 || c.doors < 2 || c.thin {
 		return
 	}
@@ -236,6 +249,10 @@
 	if c.thin || c.calls == 0 || c.name(c.cycle) != e.Name || e.Outcome != Done {
 		return
 	}
+	if g.s.Pairs {
+		g.read(c, e)
+		return
+	}
 	field, unit := c.pack()
 	if k := math.Floor(e.Total / field); c.calls == 1 && k < c.doors {
 		c.readAt = g.now + readDelay
@@ -254,10 +271,7 @@
 		return
 	}
 	g.fill(c)
-	left := c.quota * (1 - quietShare*(c.doors-k)/c.doors) // quiet gateways keep their part
-	if c.slice = c.r + (left-R)/k; R > left {
-		c.slice = left * c.r / R
-	}
+	c.step(c.quota * (1 - quietShare*(c.doors-k)/c.doors)) // quiet gateways keep their part
 }
 
 // callChance is how likely a request of a thin customer asks the counter. What is added is divided by it,
--- a/passhub/retune.go
+++ b/passhub/retune.go
@@ -16,7 +16,7 @@
 // Pool tells how many quote servers the list has, and how many of these the gateway avoids now: it rests them
 // after failures, or because they turned work away.
 func (g *Gateway) Pool(now Seconds) (listed, avoided int) {
-	for _, b := range g.order {
+	for b := range g.all() {
 		if !b.listed {
 			continue
 		}
--- a/passhub/servers.go
+++ b/passhub/servers.go
@@ -10,6 +10,7 @@
 
 type backend struct {
 	Backend
+	pool               *pool
 	listed, good       bool     // good: its last answer was
 	rank               uint64   // place in this gateway's order
 	out, bad, busy     int      // attempts out; failures, and times it turned work away, in a row
@@ -25,47 +26,41 @@
 
 func (g *Gateway) list(e Backends) {
 	if e.Complete {
-		for _, b := range g.order {
-			b.listed = false
+		for _, p := range g.pools {
+			for _, b := range p.order {
+				b.listed = false
+			}
 		}
 	}
 	for _, row := range e.List {
 		row.Size = min(1e3, cmp.Or(max(0, row.Size), 1)) // 0: not told
 		b := g.backends[row.ID]
 		if b == nil {
-			if g.kinds[row.Kind] == nil {
-				g.kinds[row.Kind] = new(g.lat)
+			p := g.group(row.Group)
+			if p.kinds[row.Kind] == nil {
+				p.kinds[row.Kind] = new(p.lat)
 			}
 			h := fnv.New64a()
 			h.Write([]byte(row.ID))
-			b = &backend{usual: g.kinds[row.Kind], filled: g.now}
+			b = &backend{pool: p, usual: p.kinds[row.Kind], filled: g.now}
 			b.limit = max(1, limitStart/float64(g.s.Balancers))
 			b.rank = rand.NewPCG(h.Sum64(), uint64(g.s.Me)).Uint64()
 			b.lat = *b.usual
 			g.backends[row.ID] = b
-			g.order = append(g.order, b)
+			p.order = append(p.order, b)
 		}
 		if row.Booted > b.Booted {
 			b.coldAt = min(row.Booted, g.now+g.s.WarmUp) // a start far ahead would leave it cold for ever
 			b.filled, b.tokens, b.limit, b.downTill = g.now, 0, 1, 0
 		}
-		b.Backend, b.listed = row, true
-	}
-	slices.SortFunc(g.order, func(a, b *backend) int { return cmp.Compare(a.rank, b.rank) })
-	g.extent()
-}
-
-// extent sets how many backends it uses.
-func (g *Gateway) extent() {
-	g.listed = 0
-	for _, b := range g.order {
-		if b.listed && b.Serving {
-			g.listed++
+		if b.Backend, b.listed = row, true; g.s.Slots {
+			b.limit = b.most()
 		}
 	}
-	gateways, all := float64(g.s.Balancers), float64(max(1, g.listed))
-	reach := min(all, math.Ceil(max(reachLeast, reachFew*all/gateways, reachSpan*g.sentRate)))
-	g.reach, g.sharing = int(reach), max(1, gateways*reach/all/reachFew)
+	for _, p := range g.pools {
+		slices.SortFunc(p.order, func(a, b *backend) int { return cmp.Compare(a.rank, b.rank) })
+		g.extent(p)
+	}
 }
 
 // pick chooses the backend with the least expected wait; nil if none may be used now. One of many gateways
@@ -74,15 +69,16 @@
 func (g *Gateway) pick(r *request) (best *backend) {
 	// When all look bad, none is the outlier: the fault may be this gateway's own link. Full is not bad.
 	up := func(b *backend) bool { return b.listed && b.Serving && g.now >= b.downTill }
-	healthy, bestCost, used, thin := slices.ContainsFunc(g.order, up), math.Inf(1), 1, g.reach < g.listed
-	for _, b := range g.order {
+	p := r.pool
+	healthy, bestCost, used, thin := slices.ContainsFunc(p.order, up), math.Inf(1), 1, p.reach < p.listed
+	for _, b := range p.order {
 		if !b.listed || !b.Serving || healthy && g.now < max(b.downTill, b.fullTill) {
 			continue
 		}
-		if thin && !b.good && g.trials < 1 {
+		if thin && !b.good && p.trials < 1 {
 			continue
 		}
-		if used > g.reach {
+		if used > p.reach {
 			break
 		}
 		if !thin || b.bad == 0 {
@@ -105,7 +101,8 @@
 		if b.waiting > 0 {
 			cost *= max(1, (g.now-b.waiting)/b.lat)
 		}
-		cost *= (known + (1-known)*g.rng.ExpFloat64()*g.size/b.Size) * (1 + errCost*b.errs) * float64(1+b.bad)
+		cost *= (known + (1-known)*g.rng.ExpFloat64()*p.size/b.Size) * g.far(b)
+		cost *= (1 + errCost*b.errs) * float64(1+b.bad)
 		if cost < bestCost {
 			best, bestCost = b, cost
 		}
@@ -123,7 +120,7 @@
 
 // coldRoom keeps a cold backend to its share of a warm one's; below one send while cold, chance in pick does.
 func (g *Gateway) coldRoom(b *backend, share float64) bool {
-	rate := share * g.sentRate / float64(max(1, g.warm))
+	rate := share * b.pool.sentRate / float64(max(1, b.pool.warm))
 	b.tokens = min(1, b.tokens+rate*(g.now-b.filled))
 	b.filled = g.now
 	return b.tokens >= 1 || rate*g.s.WarmUp < 1
@@ -134,15 +131,16 @@
 	switch e.Outcome {
 	case Done:
 		if !a.late {
-			if g.trials = min(reachLeast, g.trials+trialShare); !b.good {
-				g.trials = min(reachLeast, g.trials+1) // or all stay with the few they know (join+vast)
+			if b.pool.trials = min(reachLeast, b.pool.trials+trialShare); !b.good {
+				// Or all stay with the few they know (join+vast).
+				b.pool.trials = min(reachLeast, b.pool.trials+1)
 			}
 			b.bad, b.busy, b.good = 0, 0, true
 		}
 		b.seen++
 		b.errs, b.lat = b.errs*(1-errAlpha), b.lat+latAlpha*(e.Took-b.lat)
 		*b.usual += latAlpha / 2 * (e.Took - *b.usual)
-		g.lat += latAlpha / 4 * (e.Took - g.lat)
+		b.pool.lat += latAlpha / 4 * (e.Took - b.pool.lat)
 		if !a.slow {
 			g.adapt(b, e.Took > slowAt*r.class.Aim)
 		}
@@ -160,7 +158,8 @@
 		}
 		if !a.late {
 			// A sound one fails one request in a thousand: one error is enough, where others stand by.
-			g.failed(b, e.Outcome == Refused || e.Outcome == Failed && g.reach < g.listed)
+			others := b.pool.reach < b.pool.listed
+			g.failed(b, e.Outcome == Refused || e.Outcome == Failed && others)
 		}
 	}
 }
@@ -177,11 +176,13 @@
 
 // adapt moves a backend's limit: up by one for its worth of good answers, down on a slow one, once at a time.
 func (g *Gateway) adapt(b *backend, slow bool) {
-	if !slow {
+	if g.s.Slots {
+		b.limit = b.most() // told, not learned
+	} else if !slow {
 		if float64(b.out+1) >= b.limit*limitUsed {
 			b.limit = min(limitMost, b.limit+limitGrow/max(1, b.limit))
 		}
-	} else if g.now > b.cutAt+g.lat {
-		b.limit, b.cutAt = max(limitLeast/g.sharing, b.limit*limitCut), g.now
+	} else if g.now > b.cutAt+b.pool.lat {
+		b.limit, b.cutAt = max(limitLeast/b.pool.sharing, b.limit*limitCut), g.now
 	}
 }
--- a/passhub/state.go
+++ b/passhub/state.go
@@ -86,7 +86,7 @@
 			Level: c.level, Ceiling: c.ceiling, Filled: c.filled, CeilFill: c.ceilFill, Rate: c.r, Total: c.R, Told: c.k, TotalAt: totalAt,
 			ValidFor: c.validFor, Ratio: c.ratio, Part: c.share})
 	}
-	for _, b := range g.order {
+	for b := range g.all() {
 		if b.listed {
 			k.Backends = append(k.Backends, BackendKnowledge{ID: b.ID, Limit: b.limit, Errors: b.errs, Time: b.lat, Usual: *b.usual,
 				Bad: b.bad, Good: b.good, DownTill: b.downTill, FullTill: b.fullTill})
@@ -145,6 +145,8 @@
 		b.downTill, b.fullTill = min(e.DownTill, now+ejectMost), min(e.FullTill, now+ejectMost)
 		backends++
 	}
-	g.extent()
+	for _, p := range g.pools {
+		g.extent(p)
+	}
 	return customers, backends
 }
