--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -22,6 +22,7 @@
 type Clock struct {
 	base time.Time
 	unix float64
+	of   func() float64 // nil: this clock's own
 }
 
 // NewClock returns a clock that starts now.
@@ -30,17 +31,25 @@
 	return &Clock{base: now, unix: float64(now.UnixNano()) / 1e9}
 }
 
-// NewClockAt returns a clock that reads so many seconds now: the time of those who keep the counters, where the time of day is not to
-// be believed.
-func NewClockAt(now passhub.Seconds) *Clock { return &Clock{base: time.Now(), unix: now} }
+// NewClockOf returns a clock that follows another: that of those who keep the counters, where the time of day is not to be believed.
+// It must never go back.
+func NewClockOf(now func() passhub.Seconds) *Clock { return &Clock{of: now} }
 
 // Time is the time of a moment of the module's.
 func (c *Clock) Time(at passhub.Seconds) time.Time {
+	if c.of != nil {
+		return time.Now().Add(time.Duration((at - c.of()) * float64(time.Second)))
+	}
 	return c.base.Add(time.Duration((at - c.unix) * float64(time.Second)))
 }
 
 // Now is the module's time.
-func (c *Clock) Now() passhub.Seconds { return c.unix + time.Since(c.base).Seconds() }
+func (c *Clock) Now() passhub.Seconds {
+	if c.of != nil {
+		return c.of()
+	}
+	return c.unix + time.Since(c.base).Seconds()
+}
 
 // Counter carries out the module's calls to the shared counter. Add must not wait; what comes of it
 // is told to Engine.Counted, once.
@@ -48,6 +57,9 @@
 	Add(name string, amount float64, keep passhub.Seconds)
 }
 
+// Pairs is a Counter of pairs (passhub.Settings.Pairs): it is given the whole call, and tells CountedOf what came of it.
+type Pairs interface{ Call(passhub.Count) }
+
 // Kind is what is to be done with a request.
 type Kind = attempt.Kind
 
@@ -405,6 +417,10 @@
 			wait := time.Duration((a.At - e.clock.Now()) * float64(time.Second))
 			time.AfterFunc(max(0, wait), func() { e.handle(passhub.Timer{Token: a.Token}) })
 		case attempt.Count:
+			if p, ok := e.counter.(Pairs); ok {
+				p.Call(a.Count)
+				continue
+			}
 			if e.counter == nil {
 				e.Counted(a.Name, passhub.Refused, 0)
 				continue
--- a/passhub/passhub.go
+++ b/passhub/passhub.go
@@ -250,6 +250,11 @@
 	Name string
 	Add  float64
 	Keep Seconds // a new name is forgotten after this
+
+	// Where counters are pairs: whose it is, and of which cycle; Each: every call adds anew, else one takes the place of another.
+	Customer string
+	Cycle    int64
+	Each     bool
 }
 
 func (Send) action()     {}
--- a/passhub/quotas.go
+++ b/passhub/quotas.go
@@ -102,7 +102,8 @@
 	field, _ := c.pack()
 	if !g.s.Pairs && g.s.MayCount && g.now >= g.muted && !c.thin && c.doors > 1 && c.quota > 0 {
 		for n := range int64(changeCycles + 1) {
-			g.do(Count{c.name(c.cycleAt(g.now) + n), field * c.doors, (changeCycles+1)*c.period + 1})
+			name, keep := c.name(c.cycleAt(g.now)+n), (changeCycles+1)*c.period+1
+			g.do(Count{Name: name, Add: field * c.doors, Keep: keep})
 		}
 	}
 	if c.plan.CeilingRate > 0 {
@@ -135,7 +136,7 @@
 	span, room, keep, ok := c.plan.split(c.doors, g.s.MayCount).Common(g.now)
 	if ok {
 		c.asks = append(c.asks, query{r: r, plan: c.plan, name: c.key + "/" + span, at: g.now, room: room})
-		g.do(Count{c.key + "/" + span, r.Units, keep})
+		g.do(Count{Name: c.key + "/" + span, Add: r.Units, Keep: keep})
 	}
 	return ok
 }
@@ -174,7 +175,7 @@
 }
 
 func (g *Gateway) count(c *customer, cycle int64, add float64) {
-	g.do(Count{c.name(cycle), add, 2*c.period + 1})
+	g.do(Count{c.name(cycle), add, 2*c.period + 1, c.key, cycle, c.thin})
 }
 
 // turn closes a customer's cycle and, where its demand nears the slice, adds it to the counter.
