--- /dev/null
+++ b/internal/office/directory/book.go
@@ -0,0 +1,261 @@
+package directory
+
+import (
+	"errors"
+	"iter"
+	"slices"
+	"strings"
+)
+
+// Book is a set of items, one to a name, with the dropped ones as tombstones. It is immutable: Merge and Check make new ones that
+// share what is unchanged, at a cost that goes with the number of changes and not with the size. The nil and the zero Book are empty.
+type Book struct {
+	items  trie[Key, *entry]
+	places trie[place, *claim[Route]] // who stands where; more than one only while news is on its way
+	named  trie[word, int]            // how often routes name a service
+	routes int                        // that stand and can be read
+}
+
+// entry is an item, and what was read in it. Only routes keep their form: the book needs it, and a table has those of the others.
+type entry struct {
+	Item
+	route *Route
+	well  bool // it stands and can be read
+}
+
+// claim is a list of those who claim one thing: the first has it, and as it lets go the next one does.
+type claim[T any] struct {
+	of   *T
+	next *claim[T]
+}
+
+type claimant[T any] interface {
+	*T
+	beats(*T) bool
+}
+
+func claimed[T any, P claimant[T]](c *claim[T], x P) *claim[T] {
+	if c == nil || x.beats(c.of) {
+		return &claim[T]{x, c}
+	}
+	return &claim[T]{c.of, claimed(c.next, x)}
+}
+
+func (c *claim[T]) without(x *T) *claim[T] {
+	switch {
+	case c == nil:
+		return nil
+	case c.of == x:
+		return c.next
+	}
+	return &claim[T]{c.of, c.next.without(x)}
+}
+
+// claims puts one more claim into an index, and unclaimed takes it out of there.
+func claims[K hashed, T any, P claimant[T]](t trie[K, *claim[T]], e *edit, k K, x P) trie[K, *claim[T]] {
+	c, _ := t.get(k)
+	return t.with(e, k, claimed(c, x))
+}
+
+func unclaimed[K hashed, T any](t trie[K, *claim[T]], e *edit, k K, x *T) trie[K, *claim[T]] {
+	c, _ := t.get(k)
+	if c = c.without(x); c != nil {
+		return t.with(e, k, c)
+	}
+	return t.without(e, k)
+}
+
+// Get is the item of that name, dropped or not.
+func (b *Book) Get(k Key) (Item, bool) {
+	if e := b.entry(k); e != nil {
+		return e.Item, true
+	}
+	return Item{}, false
+}
+
+// Len is the number of items, dropped ones included.
+func (b *Book) Len() int {
+	if b == nil {
+		return 0
+	}
+	return b.items.size
+}
+
+// All goes through the items, dropped ones included, in an order that the set alone decides.
+func (b *Book) All() iter.Seq[Item] {
+	return func(yield func(Item) bool) {
+		if b != nil {
+			b.items.all(func(_ Key, e *entry) bool { return yield(e.Item) })
+		}
+	}
+}
+
+func (b *Book) entry(k Key) *entry {
+	if b == nil {
+		return nil
+	}
+	e, _ := b.items.get(k)
+	return e
+}
+
+// serves tells whether a service stands.
+func (b *Book) serves(name string) bool {
+	e := b.entry(Key{Services, name})
+	return e != nil && e.well
+}
+
+// Merge is the book with these items, and those of them that changed it. For each name the highest version holds; an equal or lower
+// one has no effect. It takes items in any order, through states that are invalid as a whole, and ends in the same book: where two
+// routes claim one place, the one of the higher epoch has it, then that of the higher version, then the first by name. An item that
+// cannot be read is kept and passed on, but it never takes effect.
+func (b *Book) Merge(items []Item) (next *Book, changed []Item) { return b.merge(items, nil) }
+
+// merge is Merge; read holds what was read in the items already, if anything.
+func (b *Book) merge(items []Item, read []*entry) (*Book, []Item) {
+	next, e, changed := Book{}, new(edit), []Item(nil)
+	if b != nil {
+		next = *b
+	}
+	for n, i := range items {
+		old := next.entry(i.Key)
+		if old != nil && !i.Newer(old.Item) {
+			continue
+		}
+		if read != nil {
+			next.set(e, old, read[n])
+		} else {
+			now, _ := readItem(i)
+			next.set(e, old, now)
+		}
+		changed = append(changed, i)
+	}
+	if len(changed) == 0 {
+		return b, nil
+	}
+	changed = slices.DeleteFunc(changed, func(i Item) bool { return i.Version != next.entry(i.Key).Version }) // overtaken by another of them
+	return &next, changed
+}
+
+// set puts an entry in the place of another, which may be none.
+func (b *Book) set(e *edit, old, now *entry) {
+	if old != nil && old.route != nil {
+		b.routes--
+		b.places = unclaimed(b.places, e, old.route.place(), old.route)
+		old.route.names(func(service string) {
+			if n, _ := b.named.get(word(service)); n > 1 {
+				b.named = b.named.with(e, word(service), n-1)
+			} else {
+				b.named = b.named.without(e, word(service))
+			}
+		})
+	}
+	b.items = b.items.with(e, now.Key, now)
+	if now.route != nil {
+		b.routes++
+		b.places = claims(b.places, e, now.route.place(), now.route)
+		now.route.names(func(service string) {
+			n, _ := b.named.get(word(service))
+			b.named = b.named.with(e, word(service), n+1)
+		})
+	}
+}
+
+// readItem reads an item. The entry is of use even where there is an error.
+func readItem(i Item) (*entry, error) {
+	e := &entry{Item: i}
+	err := checkName(i.Key)
+	switch {
+	case err != nil:
+	case i.Dropped && i.Key.Kind == Limits:
+		err = errors.New("cannot be dropped")
+	case i.Dropped:
+		return e, nil
+	case i.Key.Kind == Routes:
+		var r Route
+		if r, err = ParseRoute(i); err == nil {
+			e.route = &r
+		}
+	case i.Key.Kind == Tenants:
+		_, err = ParseTenant(i)
+	case i.Key.Kind == Services:
+		_, err = ParseService(i)
+	case i.Key.Kind == Limits:
+		_, err = ParseBounds(i)
+	}
+	e.well = err == nil
+	return e, err
+}
+
+// Check tells what the whole would be with these items, and whether it may be: next is the book with them, changed are those that
+// change it. Errors are *Refusal: with 400, where an item is invalid by itself (even one that is too old to have an effect), where a
+// route names a service that does not stand, or where two routes stand at one place; with 409, where an item says something else than
+// the one that stands under the same version. Only what the items touch is looked at: a book that stands is taken for valid.
+func (b *Book) Check(items []Item) (changed []Item, next *Book, err error) {
+	read := make([]*entry, len(items))
+	for n, i := range items {
+		if read[n], err = readItem(i); err != nil {
+			return nil, nil, invalid("%v: %v", i.Key, err)
+		}
+	}
+	next, changed = b.merge(items, read)
+	for _, i := range items {
+		old := b.entry(i.Key)
+		if now := next.entry(i.Key); i.Version == now.Version && !i.Same(now.Item) || old != nil && i.Version == old.Version && !i.Same(old.Item) {
+			return nil, nil, &Refusal{Status: 409, Text: i.Key.String() + ": this version says something else already"}
+		}
+	}
+	for _, i := range changed {
+		switch now := next.entry(i.Key); {
+		case i.Key.Kind == Services && i.Dropped:
+			if n, _ := next.named.get(word(i.Key.Name)); n > 0 {
+				return nil, nil, invalid("%v: dropped, but routes name it", i.Key)
+			}
+		case now.route != nil:
+			if c, _ := next.places.get(now.route.place()); c.next != nil {
+				return nil, nil, invalid("routes %.80q and %.80q: the same host and prefix", c.of.Name, c.next.of.Name)
+			}
+			now.route.names(func(service string) {
+				if err == nil && !next.serves(service) {
+					err = invalid("%v: unknown service %.80q", i.Key, service)
+				}
+			})
+			if err != nil {
+				return nil, nil, err
+			}
+		}
+	}
+	return changed, next, nil
+}
+
+// Render is the answer to GET /config: all items that stand, their bodies as they were sent, laid out as the operator lays out upsert
+// and sorted by name.
+func (b *Book) Render() []byte {
+	var stand [Limits + 1][]*entry
+	size := 64
+	if b != nil {
+		b.items.all(func(_ Key, e *entry) bool {
+			if e.well {
+				stand[e.Key.Kind] = append(stand[e.Key.Kind], e)
+				size += len(e.Key.Name) + len(e.Body) + 4
+			}
+			return true
+		})
+	}
+	out := make([]byte, 0, size)
+	for n, kind := range []Kind{Routes, Tenants, Services} {
+		slices.SortFunc(stand[kind], func(a, b *entry) int { return strings.Compare(a.Key.Name, b.Key.Name) })
+		out = append(out, "{,,"[n])
+		out = append(quoted(out, kind.String()), ":{"...)
+		for n, e := range stand[kind] {
+			if n > 0 {
+				out = append(out, ',')
+			}
+			out = append(append(quoted(out, e.Key.Name), ':'), e.Body...)
+		}
+		out = append(out, '}')
+	}
+	for _, e := range stand[Limits] {
+		out = append(append(out, `,"limits":`...), e.Body...)
+	}
+	return append(out, '}')
+}
--- /dev/null
+++ b/internal/switchboard/office.go
@@ -0,0 +1,150 @@
+package switchboard
+
+import (
+	"math"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"mulleinrouter/internal/engine"
+	"mulleinrouter/internal/office/directory"
+	"mulleinrouter/internal/office/feed"
+	"mulleinrouter/internal/office/lines"
+	"mulleinrouter/internal/office/trunk"
+	"mulleinrouter/passhub"
+)
+
+const (
+	freshFor  = 1500 * time.Millisecond // without word of the control nodes: then what is not known here may well exist
+	doorsFor  = 20 * time.Second        // ingresses that went away may still hold slices: they are counted on for so long
+	callMost  = 350 * time.Millisecond  // for a call of the keeper of counters, by way of the agent
+	callsMost = 256                     // of these out at once; more would be late anyway
+)
+
+// office is what the proxy has from the agent beside it: the configuration, the servers, how many ingresses there are, and the keepers
+// of counters.
+type office struct {
+	node   string
+	life   uint64
+	store  *feed.Store
+	client *feed.Client
+	engine *engine.Engine
+	warmUp passhub.Seconds
+
+	table   atomic.Pointer[directory.Table]
+	whole   atomic.Bool  // it has had a configuration whole from an agent that had it from the core
+	quorum  atomic.Int64 // when the agent last heard more than half of the core, in ns since base
+	most    atomic.Int64 // ingresses, the most of late
+	calls   atomic.Int64 // of keepers, out now
+	serial  atomic.Uint64
+	base    time.Time
+	started bool      // the engine is; only the feed's goroutine looks
+	members int       // as last told to the engine; only the feed's goroutine looks
+	mostAt  time.Time // when most was last reached
+	ready   chan struct{}
+}
+
+// fed takes what a feed brought, which is in the store already. With the first one the common clock is known, and the module starts.
+func (o *office) fed(f *trunk.Feed) {
+	if !o.started {
+		o.started = true
+		o.engine.Start(o)
+	}
+	if len(f.Items) > 0 {
+		o.table.Store(o.table.Load().With(o.store.Book(), f.Items))
+	}
+	if len(f.Lines) > 0 {
+		o.engine.Backends(passhub.Backends{List: o.backends(f.Lines)})
+	}
+	o.count(f.Members)
+	if f.Quorum {
+		o.quorum.Store(int64(time.Since(o.base)))
+	}
+	if f.Whole && f.Ready && o.table.Load().Routes() > 0 && o.whole.CompareAndSwap(false, true) {
+		close(o.ready)
+	}
+}
+
+// count learns how many ingresses there are.
+func (o *office) count(members int) {
+	if members <= 0 {
+		return
+	}
+	now := time.Now()
+	if most := int(o.most.Load()); members >= most || now.Sub(o.mostAt) > doorsFor {
+		o.most.Store(int64(members))
+		o.mostAt = now
+	}
+	if members != o.members {
+		o.members = members
+		o.engine.Members(members, o.doors())
+	}
+}
+
+// doors is through how many ingresses a tenant's requests may come.
+func (o *office) doors() int { return max(1, int(o.most.Load())) }
+
+// fresh tells whether what is not known here is known nowhere, as far as can be.
+func (o *office) fresh() bool {
+	return o.whole.Load() && time.Since(o.base)-time.Duration(o.quorum.Load()) < freshFor
+}
+
+// holder names this process where each of its calls adds anew: one that begins anew must not be taken for the one before it.
+func (o *office) holder() string { return o.node + "#" + strconv.FormatUint(o.life, 36) }
+
+// allowed tells whether there is such a service.
+func (o *office) allowed(service string) bool { return o.table.Load().Service(service) != nil }
+
+// backends translates lines for the module. Those of a life that is over, or silent, get nothing.
+func (o *office) backends(ls []lines.Line) []passhub.Backend {
+	list := make([]passhub.Backend, 0, len(ls))
+	for _, l := range ls {
+		now, ok := o.store.Line(l.ID)
+		if !ok {
+			continue
+		}
+		b := passhub.Backend{ID: now.ID, Group: now.Service, Kind: now.Service, Zone: now.Zone, Serving: now.Phase == lines.Serving, Size: float64(now.Slots)}
+		if now.ColdTill > 0 && !math.IsInf(now.ColdTill, 0) {
+			b.Booted = now.ColdTill - o.warmUp
+		}
+		list = append(list, b)
+	}
+	return list
+}
+
+// lookup is where a server is, and whether it may be sent anything new.
+func (o *office) lookup(id string) (addr string, serving bool) {
+	l, ok := o.store.Line(id)
+	return l.Address, ok && l.Phase == lines.Serving
+}
+
+// Add is never called: counters are pairs.
+func (o *office) Add(name string, _ float64, _ passhub.Seconds) {
+	o.engine.CountedOf(name, passhub.Refused, 0, 0)
+}
+
+// Call carries out the module's calls of the counters.
+func (o *office) Call(c passhub.Count) {
+	if o.calls.Add(1) > callsMost {
+		o.calls.Add(-1)
+		go o.engine.CountedOf(c.Name, passhub.Busy, 0, 0)
+		return
+	}
+	a := &trunk.Add{Name: c.Customer, Cycle: c.Cycle, Holder: o.node, Amount: c.Add, Read: c.Add == 0, Keep: c.Keep, One: c.Each}
+	if c.Each {
+		a.Serial = o.serial.Add(1)
+		a.Holder = o.holder()
+	}
+	go func() {
+		defer o.calls.Add(-1)
+		answer, err := o.client.Call(callMost, &trunk.Frame{Add: a})
+		switch {
+		case err != nil:
+			o.engine.CountedOf(c.Name, passhub.TimedOut, 0, 0)
+		case answer.Total == nil || !answer.Total.OK:
+			o.engine.CountedOf(c.Name, passhub.Failed, 0, 0)
+		default:
+			o.engine.CountedOf(c.Name, passhub.Done, answer.Total.Sum, answer.Total.Holders)
+		}
+	}()
+}
--- /dev/null
+++ b/internal/switchboard/speech.go
@@ -0,0 +1,277 @@
+package switchboard
+
+import (
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"mulleinrouter/internal/client"
+	"mulleinrouter/internal/http1"
+	"mulleinrouter/internal/ingress"
+	"mulleinrouter/internal/office/directory"
+	"mulleinrouter/internal/upstream"
+	"mulleinrouter/passhub"
+)
+
+// The fields of PROTOCOL, "Requests" and "Answers", in textproto's own form: Get would make each anew.
+const (
+	keyID, keyLeft, keyAuth, keyTenant = "X-Attempt-Id", "X-Time-Left-Ms", "Authorization", "X-Tenant"
+	keyTarget, keySeal, keyNotRun      = "X-Target-Instance", "X-Server-Seal", "X-Not-Executed"
+	scheme                             = "Token "
+
+	mostID   = 128                  // bytes
+	mostLeft = 600_000.0            // ms: no client waits longer
+	transit  = 10.0 / 1000          // s taken off the time that a client waits: the answer still has its way to go
+	unknown  = passhub.Seconds(0.3) // s until a client whose route or key is not known here, perhaps not yet, should ask again
+)
+
+// deciding are the fields that the system decides by or writes itself: they are not passed on, and no trailer may have them. The key
+// is the client's alone: servers are told the tenant.
+var deciding = map[string]bool{keyID: true, keyLeft: true, keyAuth: true, keyTenant: true, keyTarget: true}
+
+// reports are fields in which servers tell the system something: clients do not get them.
+var reports = map[string]bool{keyNotRun: true, "X-Instance-Id": true}
+
+// speech translates between the wire and the module.
+type speech struct {
+	office *office
+
+	mu    sync.Mutex
+	rng   *rand.Rand
+	terms map[string]*passhub.Terms // of tenants that asked lately
+	kinds map[string]*passhub.Class // of routes that were asked lately
+}
+
+// mostKept bounds what is kept of routes and tenants; beyond it all is made anew, which costs little.
+const mostKept = 1 << 14
+
+// dialect is what clients are answered in.
+func (s *speech) dialect() ingress.Dialect {
+	return ingress.Dialect{
+		Parse: s.parse, Deciding: deciding, Reports: reports, Beyond: 429, PassFailures: true,
+		Times: func() *client.Times {
+			b := s.office.table.Load().Bounds()
+			t := &client.Times{Silent: 15, Idle: 15, Head: 3}
+			if b.IdleTime > 0 {
+				t.Idle, t.Silent = b.IdleTime, b.IdleTime
+			}
+			if b.HeaderTime > 0 {
+				t.Head = b.HeaderTime
+			}
+			return t
+		},
+		MostBody: func() int64 { return int64(s.office.table.Load().Bounds().BodyBytes) },
+	}
+}
+
+// parse finds a request's route and its tenant, and translates it. It decides nothing but whether there are these.
+func (s *speech) parse(r *http1.Request) (request passhub.Request, m *upstream.Message, bad *ingress.Problem) {
+	fail := func(status int, code, text string) (passhub.Request, *upstream.Message, *ingress.Problem) {
+		return passhub.Request{}, nil, &ingress.Problem{Status: status, Code: code, Text: text}
+	}
+	for _, key := range [...]string{keyID, keyLeft, keyAuth, "Host"} {
+		if len(r.Header[key]) > 1 { // who counts the other one decides otherwise
+			return fail(400, "request-twice", key+" stands there twice")
+		}
+	}
+	id := r.Header.Get(keyID)
+	if !http1.Visible(id) || len(id) > mostID {
+		return fail(400, "request-bad-id", "X-Attempt-Id is missing or not a word")
+	}
+	left, err := strconv.ParseFloat(r.Header.Get(keyLeft), 64)
+	if err != nil || !(left > 0) || left > mostLeft {
+		return fail(400, "request-bad-time", "X-Time-Left-Ms is not a time in milliseconds")
+	}
+	if http1.Misplaced(r.Trailer, deciding) {
+		return fail(400, "request-bad-trailer", "a trailer states what belongs in the head")
+	}
+	if !s.office.whole.Load() { // a part of a configuration may lack the tenants, and let anybody in
+		return s.missing(503, "request-too-soon", "no configuration yet")
+	}
+	table, host := s.office.table.Load(), r.Header.Get("Host")
+	path, _, _ := strings.Cut(r.Target, "?")
+	route := table.Route(host, path)
+	if route == nil {
+		return s.missing(404, "request-unknown-route", "no such route")
+	}
+	var tenant *directory.Tenant
+	if auth := r.Header.Get(keyAuth); auth != "" && table.HasTenants() {
+		if key, ok := strings.CutPrefix(auth, scheme); ok {
+			tenant = table.Tenant(key)
+		}
+	}
+	if tenant == nil && !route.Public && table.HasTenants() {
+		return s.missing(401, "request-unknown-key", "no such key")
+	}
+	service := s.service(route)
+	if !s.office.allowed(service) {
+		return s.missing(404, "request-unknown-service", "no such service")
+	}
+	request = passhub.Request{Class: route.Name, Kind: s.kind(route), Group: service, Left: min(left/1000, route.Deadline), Units: 1,
+		Doors: s.office.doors(), Long: r.Long != nil}
+	request.Repeat = left/1000 < route.Deadline-0.001
+	request.Left = max(request.Left/2, request.Left-transit)
+	m = &upstream.Message{Method: r.Method, Target: r.Target, ID: id, Host: host, Once: route.Once, Body: r.Body, Trailer: r.Trailer,
+		Fields: http1.AppendFields(nil, r.Header, deciding)}
+	if tenant != nil {
+		request.Customer, request.Terms, m.Tenant = tenant.Name, s.term(tenant), tenant.Name
+	} else {
+		request.Terms = nobody
+	}
+	return request, m, nil
+}
+
+// nobody are the terms of requests on public routes that come without a key.
+var nobody = &passhub.Terms{Plan: passhub.Plan{Price: 1}, Tag: "-"}
+
+// missing is the answer to who asks for what is not known here. Only one who knows that the configuration here is fresh may say
+// that there is none; else the request has not run, and may come again.
+func (s *speech) missing(status int, code, text string) (passhub.Request, *upstream.Message, *ingress.Problem) {
+	p := &ingress.Problem{Status: status, Code: code, Text: text}
+	if !s.office.fresh() {
+		p.Status, p.Code, p.RetryAfter = 503, code+"-yet", unknown
+	}
+	return passhub.Request{}, nil, p
+}
+
+// service is the one that a request goes to: the route's, or one of those that it is split over, by their weights.
+func (s *speech) service(route *directory.Route) string {
+	if len(route.Split) == 0 {
+		return route.Service
+	}
+	sum := 0.0
+	for _, part := range route.Split {
+		sum += part.Weight
+	}
+	s.mu.Lock()
+	at := s.rng.Float64() * sum
+	s.mu.Unlock()
+	for _, part := range route.Split {
+		if at -= part.Weight; at < 0 {
+			return part.Service
+		}
+	}
+	return route.Split[len(route.Split)-1].Service
+}
+
+const (
+	rankStep   = 3.0  // worth of a route's rank beside the next lower
+	tenantStep = 64.0 // a tenant's priority goes before the route's
+	holdPart   = 0.22 // of the aim that a request may wait for a server: a refusal within a quarter of it costs least
+)
+
+// kind is a route as the module knows it.
+func (s *speech) kind(route *directory.Route) *passhub.Class {
+	key := route.Name + "\x00" + strconv.FormatUint(route.Version, 16)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.kinds[key]
+	if c == nil {
+		c = &passhub.Class{Name: route.Name, Aim: route.Aim, Deadline: route.Deadline, Worth: rank(route.Priority, rankStep), LateWorth: 0.5,
+			Attempts: route.Tries, Hold: holdPart * route.Aim, Effect: passhub.Safe}
+		if route.Once {
+			c.Effect = passhub.Unsafe
+		}
+		if len(s.kinds) >= mostKept {
+			clear(s.kinds)
+		}
+		s.kinds[key] = c
+	}
+	return c
+}
+
+// term is a tenant's quota as the module knows it.
+func (s *speech) term(t *directory.Tenant) *passhub.Terms {
+	tag := strconv.FormatUint(t.Version, 16)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.terms[t.Name]
+	if e == nil || e.Tag != tag {
+		e = &passhub.Terms{Customer: t.Name, Tag: tag,
+			Plan: passhub.Plan{Name: t.Name, Rate: t.Rate, Burst: t.Burst, Price: rank(t.Priority, tenantStep)}}
+		if len(s.terms) >= mostKept {
+			clear(s.terms)
+		}
+		s.terms[t.Name] = e
+	}
+	return e
+}
+
+// rank turns a priority, where 0 is the highest, into a worth.
+func rank(priority int, step float64) float64 {
+	worth := 1.0
+	for range min(max(priority, 0), 8) {
+		worth /= step
+	}
+	return worth
+}
+
+// begin begins a request to a server (PROTOCOL, "Requests").
+func begin(b []byte, m *upstream.Message, backend string, left time.Duration) []byte {
+	b = http1.AppendRequestLine(b, m.Method, m.Target, m.Host)
+	b = http1.AppendField(b, keyID, m.ID)
+	b = http1.AppendField(b, keyLeft, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	b = http1.AppendField(b, keyTarget, backend)
+	if m.Tenant != "" {
+		b = http1.AppendField(b, keyTenant, m.Tenant)
+	}
+	return b
+}
+
+// meaning is what a server's answer means (PROTOCOL, "Servers" and "Answers"): only X-Not-Executed, or 421, says that the request has
+// not run, and an answer under another id, or none, is not its own.
+func meaning(m *upstream.Message, a *http1.Response) upstream.Meaning {
+	if a.Header.Get(keyNotRun) != "" || a.Status == 421 {
+		return upstream.Refused
+	}
+	switch id := a.Header.Get(keyID); {
+	case id != "" && id != m.ID:
+		return upstream.Foreign
+	case a.Status >= 500:
+		return upstream.Failed
+	case id == "", a.Status/100 == 2 && (a.Header.Get(keySeal) == "" || a.Header.Get("Content-Encoding") != ""):
+		return upstream.Broken
+	}
+	return upstream.Served
+}
+
+// readyPage answers the platform's question whether this proxy wants clients, one request a connection or many.
+func readyPage(l net.Listener, ready func() bool) {
+	for {
+		nc, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer nc.Close()
+			for r := http1.NewReader(nc); ; {
+				nc.SetDeadline(time.Now().Add(5 * time.Second))
+				if r.Wait() != nil {
+					return
+				}
+				q, err := r.Head()
+				if err != nil || q.HasBody() {
+					return
+				}
+				status := 404
+				switch {
+				case q.Target != "/readiness":
+				case ready():
+					status = 200
+				default:
+					status = 503
+				}
+				b := http1.AppendHead(nil, status, 0)
+				if q.Close {
+					b = http1.AppendField(b, "Connection", "close")
+				}
+				if _, err := nc.Write(append(b, "\r\n"...)); err != nil || q.Close {
+					return
+				}
+			}
+		}()
+	}
+}
--- /dev/null
+++ b/internal/switchboard/speech_test.go
@@ -0,0 +1,193 @@
+package switchboard
+
+import (
+	"bufio"
+	"math/rand/v2"
+	"net"
+	"net/textproto"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulleinrouter/internal/http1"
+	"mulleinrouter/internal/office/directory"
+	"mulleinrouter/internal/upstream"
+	"mulleinrouter/passhub"
+)
+
+// testConfig is a whole of three routes, two tenants and two services.
+const testConfig = `{"upsert":{
+"routes":{"r1":{"authority":"one.example","pathPrefix":"/a/","routeKind":"idempotent","deadlineMs":1000,"targetMs":400,"priority":2,"backend":"s1","maxTries":2,"public":false,"generation":"00000001"},
+"r2":{"authority":"one.example","pathPrefix":"/a/b/","routeKind":"mutating","deadlineMs":2000,"targetMs":500,"priority":0,"weighted":[{"backend":"s1","share":30},{"backend":"s2","share":70}],"maxTries":1,"public":false,"generation":"00000001"},
+"r3":{"authority":"two.example","pathPrefix":"/","routeKind":"idempotent","deadlineMs":1000,"targetMs":400,"priority":1,"backend":"s2","maxTries":2,"public":true,"generation":"00000001"}},
+"customers":{"t1":{"apiKeys":["k1","k2"],"priority":0,"ratePerS":10,"burst":20,"generation":"00000001"},
+"t2":{"apiKeys":["k3"],"priority":1,"ratePerS":0,"burst":0,"generation":"00000001"}},
+"services":{"s1":{"healthPath":"/health","maxConns":10,"protocol":"h1","tlsMode":false,"generation":"00000001"},"s2":{"healthPath":"/health","maxConns":10,"protocol":"h1","tlsMode":false,"generation":"00000001"}}},
+"remove":{"routes":[]}}`
+
+func testSpeech(t *testing.T, fresh, whole bool) *speech {
+	items, err := directory.ReadPatch([]byte(testConfig))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var book *directory.Book
+	book, changed := book.Merge(items)
+	o := &office{base: time.Now().Add(-time.Hour), ready: make(chan struct{})}
+	o.table.Store(directory.NewTable().With(book, changed))
+	o.whole.Store(whole)
+	if fresh {
+		o.quorum.Store(int64(time.Hour))
+	}
+	return &speech{office: o, rng: rand.New(rand.NewPCG(1, 1)), terms: map[string]*passhub.Terms{}, kinds: map[string]*passhub.Class{}}
+}
+
+func head(t *testing.T, text string) *http1.Request {
+	t.Helper()
+	r, err := http1.NewReader(strings.NewReader(strings.ReplaceAll(text, "\n", "\r\n") + "\r\n\r\n")).Head()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func TestRequestsFindTheirRouteAndTenant(t *testing.T) {
+	const line = "GET /a/x?q=/a/b/ HTTP/1.1\nHost: One.example\nX-Attempt-Id: i1\nX-Time-Left-Ms: 900"
+	for name, c := range map[string]struct {
+		text         string
+		stale, early bool
+		status       int // 0: it is handed to the module
+		route        string
+		tenant       string
+	}{
+		"route and tenant":     {text: line + "\nAuthorization: Token k2", route: "r1", tenant: "t1"},
+		"the longest prefix":   {text: strings.Replace(line, "/a/x", "/a/b/x", 1) + "\nAuthorization: Token k3", route: "r2", tenant: "t2"},
+		"tenant of the client": {text: line + "\nX-Tenant: t2\nAuthorization: Token k1", route: "r1", tenant: "t1"},
+		"public":               {text: strings.Replace(line, "One", "two", 1), route: "r3"},
+		"no route":             {text: strings.Replace(line, "One", "three", 1), status: 404},
+		"no route, not sure":   {text: strings.Replace(line, "One", "three", 1), stale: true, status: 503},
+		"no key":               {text: line, status: 401},
+		"another scheme":       {text: line + "\nAuthorization: Bearer k1", status: 401},
+		"unknown key":          {text: line + "\nAuthorization: Token k9", status: 401},
+		"unknown, not sure":    {text: line + "\nAuthorization: Token k9", stale: true, status: 503},
+		"no configuration":     {text: line + "\nAuthorization: Token k1", early: true, stale: true, status: 503},
+		"no id":                {text: strings.Replace(line, "X-Attempt-Id: i1", "X-Other: 1", 1), status: 400},
+		"two ids":              {text: line + "\nX-Attempt-Id: i2", status: 400},
+		"two hosts":            {text: line + "\nHost: two.example", status: 400},
+		"no time":              {text: strings.Replace(line, "900", "NaN", 1), status: 400},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			request, m, bad := testSpeech(t, !c.stale, !c.early).parse(head(t, c.text))
+			if c.status != 0 {
+				is.True(bad != nil)
+				is.Equal(bad.Status, c.status)
+				is.Equal(bad.RetryAfter > 0, c.status == 503) // what has not run may come again
+				return
+			}
+			is.True(bad == nil)
+			is.Equal(request.Class, c.route)
+			is.Equal(m.Tenant, c.tenant)
+			is.True(request.Left <= 0.9)
+			is.Equal(m.Once, c.route == "r2")
+			out := string(begin(nil, m, "i-77", 1500*time.Millisecond)) + string(m.Fields)
+			is.True(!strings.Contains(out, "Token")) // servers are not shown the key
+			h, err := textproto.NewReader(bufio.NewReader(strings.NewReader(out[strings.Index(out, "\r\n")+2:] + "\r\n"))).ReadMIMEHeader()
+			is.NoErr(err)
+			is.Equal(h.Get("X-Target-Instance"), "i-77")
+			is.Equal(h.Get("X-Time-Left-Ms"), "1500")
+			is.Equal(h.Values("X-Tenant"), tenantField(c.tenant))
+			is.Equal(len(h.Values("Host")), 1)
+		})
+	}
+}
+
+func tenantField(name string) []string {
+	if name == "" {
+		return nil
+	}
+	return []string{name}
+}
+
+func TestSplitRoutesFollowTheirShares(t *testing.T) {
+	is := is.New(t)
+	s, n := testSpeech(t, true, true), 0
+	for range 1000 {
+		if s.service(s.office.table.Load().RouteByName("r2")) == "s2" {
+			n++
+		}
+	}
+	is.True(n > 650 && n < 750)
+}
+
+func TestOnlyTheServersOwnWordProvesThatNothingRan(t *testing.T) {
+	for text, want := range map[string]upstream.Meaning{
+		"200 OK\nX-Attempt-Id: i1\nX-Server-Seal: s":                         upstream.Served,
+		"201 Created\nX-Attempt-Id: i1\nX-Server-Seal: s":                    upstream.Served,
+		"200 OK\nX-Attempt-Id: i1":                                           upstream.Broken,
+		"200 OK\nX-Server-Seal: s":                                           upstream.Broken,
+		"200 OK\nX-Attempt-Id: i1\nX-Server-Seal: s\nContent-Encoding: gzip": upstream.Broken,
+		"200 OK\nX-Attempt-Id: i2\nX-Server-Seal: s":                         upstream.Foreign,
+		"500 Oops\nX-Attempt-Id: i2":                                         upstream.Foreign,
+		"500 Oops\nX-Attempt-Id: i1":                                         upstream.Failed,
+		"503 Full\nX-Attempt-Id: i1":                                         upstream.Failed,
+		"504 Late":                                                           upstream.Failed,
+		"503 Full\nX-Not-Executed: 1":                                        upstream.Refused,
+		"429 Many\nX-Attempt-Id: i1\nX-Not-Executed: 1":                      upstream.Refused,
+		"421 Other\nX-Instance-Id: i-5":                                      upstream.Refused,
+		"404 None":                                                           upstream.Broken,
+		"404 None\nX-Attempt-Id: i1":                                         upstream.Served,
+	} {
+		a, err := http1.NewReader(strings.NewReader("HTTP/1.1 " + strings.ReplaceAll(text, "\n", "\r\n") + "\r\nContent-Length: 0\r\n\r\n")).Response(false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := meaning(&upstream.Message{ID: "i1"}, a); got != want {
+			t.Errorf("%q means %v, not %v", text, got, want)
+		}
+	}
+}
+
+// TestSurplusAnswersBelongToNoRequest has a server send a second answer late, in the place of the next one's: the client of the next
+// request gets its own, and the connection is not used again.
+func TestSurplusAnswersBelongToNoRequest(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	conns := make(chan int, 9)
+	go func() {
+		for n := 0; ; n++ {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns <- n
+			go func() {
+				for r := http1.NewReader(nc); ; {
+					q, err := r.Head()
+					if err != nil {
+						return
+					}
+					id := q.Header.Get("X-Attempt-Id")
+					answer := func(id, body string) string {
+						return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Server-Seal: x\r\nContent-Length: 1\r\n\r\n" + body
+					}
+					if id == "second" {
+						nc.Write([]byte(answer("first", "1"))) // the surplus one, late
+					}
+					nc.Write([]byte(answer(id, id[:1])))
+				}
+			}()
+		}
+	}()
+	p := upstream.New(func(string) (string, bool) { return l.Addr().String(), true }, upstream.Limits{Connections: 9, ConnectTimeout: time.Second, Keepalive: time.Minute}, quiet())
+	p.Dialect = upstream.Dialect{Begin: begin, Meaning: meaning}
+	for _, id := range []string{"first", "second", "third"} {
+		r := p.Do(t.Context(), "i-1", &upstream.Message{Method: "GET", Target: "/", Host: "h", ID: id}, time.Now().Add(5*time.Second))
+		is.Equal(r.Outcome, passhub.Done)
+		is.Equal(string(r.Body), id[:1])
+	}
+	is.Equal(len(conns), 2) // the second request's connection was ended, for one answer too many had come on it
+}
--- a/passhub/keeper.go
+++ b/passhub/keeper.go
@@ -9,6 +9,7 @@
 	present   = 1e-6 // units a second: what a gateway adds that was asked nothing, so that it counts as a holder
 	lapse     = 2.4  // s without a report taken: its slice may be given to others soon (tally.Retain is 3.0)
 	young     = 10.0 // s from its start for which a gateway cannot know what the one before it has spent
+	thinPairs = 4.0  // requests in a cycle's even share, below which each asks the keeper
 	youngPart = 0.25 // of its part of the burst, which it then begins with
 )
 
@@ -71,9 +72,18 @@
 	return "." + t.Tag
 }
 
+// thinOfPairs tells which customers' requests are reports of their own. The keepers are near, and a call costs a few milliseconds: a
+// store that holds a handful of requests refuses by chance what is well within the quota.
+func (g *Gateway) thinOfPairs(c *customer) {
+	if g.s.Pairs {
+		c.thin = c.plan.Rate > 0 && c.doors > 1 && c.quota*c.period < thinPairs*c.doors
+	}
+}
+
 // Doors tells through how many gateways customers may come now, where that is learned.
 func (g *Gateway) Doors(n int) {
 	for _, c := range g.known {
 		c.doors = float64(max(1, n))
+		g.thinOfPairs(c)
 	}
 }
--- /dev/null
+++ b/passhub/keeper_test.go
@@ -0,0 +1,209 @@
+package passhub
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"mulleinrouter/internal/office/tally"
+)
+
+// quotaWorld plays gateways that count in pairs round one keeper, in fake time, and counts what they let through.
+type quotaWorld struct {
+	rng    *rand.Rand
+	keeper *tally.Keeper
+	nodes  []*quotaNode
+	now    float64
+	id     uint64
+	ran    []float64 // when requests were sent on
+	plan   Plan
+	lost   float64 // share of the keeper's calls that are lost
+}
+
+type quotaNode struct {
+	g        *Gateway
+	name     string
+	rate     float64 // requests a second that come to it
+	cut      bool    // it does not reach the keeper
+	from     float64 // it is down until then
+	tick     float64
+	asked    int
+	refused  int
+	lastLife int
+}
+
+func newQuotaWorld(seed uint64, nodes int, plan Plan, rates func(i int) float64) *quotaWorld {
+	w := &quotaWorld{rng: rand.New(rand.NewPCG(seed, 9)), keeper: tally.New(), plan: plan, now: 100}
+	w.keeper.Duty(0, []string{"k"}, "k", true)
+	for i := range nodes {
+		n := &quotaNode{name: strconv.Itoa(i), rate: rates(i)}
+		w.nodes = append(w.nodes, n)
+		w.start(n)
+	}
+	return w
+}
+
+func (w *quotaWorld) start(n *quotaNode) {
+	n.lastLife++
+	n.g = New(Settings{Balancers: len(w.nodes), MayCount: true, CountWait: 0.35, Pairs: true, Cycle: 1, Slots: true, MaxAttempts: 1,
+		MayRetryAfter: true, MaxRetryAfter: 1}, w.rng.Uint64())
+	n.tick = w.now + 0.05*w.rng.Float64()
+	w.handle(n, Start{})
+	w.handle(n, Backends{List: []Backend{{ID: "s", Serving: true, Size: 1e3}}})
+}
+
+func (w *quotaWorld) handle(n *quotaNode, e Event) {
+	for _, a := range n.g.Handle(w.now, e) {
+		switch a := a.(type) {
+		case Send:
+			w.ran = append(w.ran, w.now)
+			w.handle(n, AttemptEnded{ID: a.ID, Backend: a.Backend, Outcome: Done, Took: 0.01, Settled: true})
+		case Refuse:
+			n.refused++
+		case Count:
+			c := Counted{Name: a.Name, Outcome: TimedOut}
+			if !n.cut && w.rng.Float64() >= w.lost {
+				holder := n.name
+				if a.Each {
+					holder += "#" + strconv.Itoa(n.lastLife)
+				}
+				w.id++
+				sum, k, ok := w.keeper.Add(w.now, a.Customer, a.Cycle, holder, a.Add, a.Add == 0, a.Each, w.id, a.Keep)
+				if c.Outcome = Failed; ok {
+					c.Outcome, c.Total, c.Holders = Done, sum, k
+				}
+			}
+			defer w.handle(n, c)
+		}
+	}
+}
+
+// run plays a span in steps of a millisecond; what comes is Poisson.
+func (w *quotaWorld) run(span float64, each func()) {
+	for end := w.now + span; w.now < end; w.now += 0.001 {
+		for _, n := range w.nodes {
+			if w.now < n.from {
+				continue
+			}
+			if n.from > 0 {
+				n.from = 0
+				w.start(n)
+			}
+			if w.now >= n.tick {
+				n.tick += tickEvery
+				w.handle(n, Timer{"tick"})
+			}
+			if w.rng.Float64() < n.rate*0.001 {
+				w.id++
+				n.asked++
+				w.handle(n, Request{ID: w.id, Class: "c", Customer: "t", Left: 1, Units: 1, Doors: len(w.nodes), Terms: &Terms{Plan: w.plan, Tag: "1"}})
+			}
+		}
+		if each != nil {
+			each()
+		}
+	}
+}
+
+// most is the most that ran in any window of so long.
+func (w *quotaWorld) most(window float64) (most int) {
+	first := 0
+	for i, at := range w.ran {
+		for w.ran[first] <= at-window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// allowed is the rule QUOTA of the bench: the quota over the window and its burst, a tenth more, and twenty.
+func allowed(p Plan) int { return int((p.Rate*5+p.Burst)*1.1) + 20 }
+
+// TestQuotaHoldsOverAllGateways has a tenant ask eight times its usual, unevenly, while gateways are cut off from the keeper, killed and back,
+// and calls are lost: what runs in any five seconds stays within the rule, and a tenant within its quota is hardly refused.
+func TestQuotaHoldsOverAllGateways(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		nodes int
+		plan  Plan
+		calm  float64 // share of the quota asked before the rush
+		least float64 // of the calm requests that are let through
+		lost  float64
+	}{
+		{"large", 11, Plan{Rate: 122, Burst: 122, Price: 1}, 0.62, 0.99, 0},
+		{"small", 11, Plan{Rate: 18, Burst: 18, Price: 1}, 0.62, 0.93, 0},
+		{"lossy", 11, Plan{Rate: 122, Burst: 122, Price: 1}, 0.62, 0.98, 0.05},
+		{"one", 1, Plan{Rate: 20, Burst: 20, Price: 1}, 0.62, 0.98, 0},
+		{"many", 85, Plan{Rate: 4, Burst: 4, Price: 1}, 0.5, 0.7, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(5) {
+				w := newQuotaWorld(seed, c.nodes, c.plan, func(i int) float64 { return c.calm * c.plan.Rate / float64(c.nodes) * (0.5 + float64(i%3)*0.5) })
+				w.lost = c.lost
+				w.run(8, nil) // it begins from nothing
+				asked, refused := 0, 0
+				for _, n := range w.nodes {
+					n.asked, n.refused = 0, 0
+				}
+				w.run(20, nil)
+				for _, n := range w.nodes {
+					asked, refused = asked+n.asked, refused+n.refused
+				}
+				if served := 1 - float64(refused)/float64(max(1, asked)); served < c.least {
+					t.Errorf("seed %d: %.3f of %d calm requests let through", seed, served, asked)
+				}
+				for _, n := range w.nodes {
+					n.rate *= 8
+				}
+				w.run(4, nil)
+				for i, n := range w.nodes {
+					switch {
+					case c.nodes < 3:
+					case i%4 == 1:
+						n.cut = true
+					case i%2 == 0:
+						n.from = w.now + 2.2 + w.rng.Float64()
+					}
+				}
+				w.run(6, nil)
+				for _, n := range w.nodes {
+					n.cut = false
+				}
+				w.run(5, nil)
+				is.True(len(w.ran) > 0)
+				if most := w.most(5); most > allowed(c.plan) {
+					t.Errorf("seed %d: %d ran in five seconds, %d may", seed, most, allowed(c.plan))
+				}
+			}
+		})
+	}
+}
+
+// TestSlicesAddUpToTheQuota compares the slices after a calm while with the plain model: every slice is r + (Q-R)/k, and together they are Q.
+func TestSlicesAddUpToTheQuota(t *testing.T) {
+	is := is.New(t)
+	plan := Plan{Rate: 200, Burst: 200, Price: 1}
+	w := newQuotaWorld(3, 7, plan, func(i int) float64 { return 5 + 6*float64(i) })
+	w.run(20, nil)
+	sum, R := 0.0, 0.0
+	for _, n := range w.nodes {
+		c := n.g.customers["t"]
+		sum += c.slice
+		R += c.r
+		is.Equal(c.k, 7.0) // all of them hold a slice
+	}
+	is.True(math.Abs(sum-plan.Rate) < 0.1*plan.Rate)
+	largest := slices.MaxFunc(w.nodes, func(a, b *quotaNode) int { return int(a.g.customers["t"].slice - b.g.customers["t"].slice) })
+	is.True(largest.rate >= 29) // the slice follows what is asked
+	w.nodes[0].cut = true
+	w.run(4, nil)
+	if c := w.nodes[0].g.customers["t"]; w.nodes[0].g.paced(c) > quietShare*plan.Rate/7+1e-9 {
+		t.Errorf("cut off, it goes on with %.1f", w.nodes[0].g.paced(c))
+	}
+}
--- a/passhub/quotas.go
+++ b/passhub/quotas.go
@@ -83,6 +83,7 @@
 	if c.thin = c.quota > 0 && c.doors > 2*c.quota; c.plan.Rate > 0 {
 		c.thin = c.doors > 1 && min(c.quota*c.period/thinUnits, c.plan.Burst) < c.doors*max(1, g.s.MaxUnits)
 	}
+	g.thinOfPairs(c)
 }
 
 // replan puts a customer on other terms. Stores keep what they hold, up to the new most, and a slice its part
@@ -280,6 +281,9 @@
 // take them all, some customers are not watched, the same ones at all gateways, for half a total is noise;
 // first those whose answer decides nothing. But all wide ones are watched, and sampled more thinly.
 func (g *Gateway) callChance(c *customer, r *request) float64 {
+	if g.s.Pairs {
+		return 1
+	}
 	least := min(1, c.units(r)/(weightMost*g.rate(c)*c.period))
 	if g.unheard < muteAfter { // else who tries it?
 		watched, decides := g.chance, c.plan.ExcessWorth <= c.plan.BeyondCosts
