--- /dev/null
+++ b/internal/linefinder/finder.go
@@ -0,0 +1,272 @@
+// Package linefinder is the agent on an edge machine. It subscribes to the control nodes it knows, keeps what they tell in one store,
+// renews the lease of the ingress beside it, carries its counter calls to their keeper, and is itself the one source of that
+// ingress, over loopback.
+package linefinder
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"mulleinrouter/internal/office/feed"
+	"mulleinrouter/internal/office/premises"
+	"mulleinrouter/internal/office/tally"
+	"mulleinrouter/internal/office/trunk"
+)
+
+const (
+	mostSeeds   = 5
+	mostCalls   = 256 // counter calls under way; more are answered at once as not kept
+	mostProxies = 8   // connections of the proxy: two while one takes over from another, and whoever looks
+	fresh       = 2 * time.Second
+	renewed     = 1500 * time.Millisecond // for which the word of a proxy that it is ready holds
+	oneIsEnough = 5 * time.Second         // from the start, until one control node that hears most others will do
+	dialIn      = time.Second
+	callIn      = 160 * time.Millisecond // a counter call, at each of two keepers: a proxy waits for little more than both
+)
+
+// visitor is the class of whoever only looks at what the agent knows.
+const visitor = "visitor"
+
+// Finder is a running agent.
+type Finder struct {
+	life    uint64
+	log     log.Logger
+	store   *feed.Store
+	clock   *feed.Clock
+	source  *feed.Source
+	started time.Time
+
+	seeds   atomic.Pointer[[]*seed] // in force; swapped whole
+	all     sync.WaitGroup
+	ready   atomic.Bool  // what is here is enough to serve with; once it is, it stays so
+	takes   atomic.Int64 // when a proxy last said that it takes requests, since the start; 0: never
+	proxies atomic.Int32
+	gone    chan struct{} // the last proxy has gone
+	calls   chan struct{} // room for counter calls
+	dial    func(ctx context.Context, addr string) (net.Conn, error)
+}
+
+// seed is a control node that is subscribed to.
+type seed struct {
+	addr   string
+	client *feed.Client
+	stop   context.CancelFunc
+	whole  atomic.Bool // all that it knows has come, as it was ready itself
+}
+
+// New makes an agent of a process with that life, which no other process has had.
+func New(life uint64, logger log.Logger) *Finder {
+	f := &Finder{life: life, log: log.With(logger, "part", "linefinder"), store: feed.NewStore(life), started: time.Now(),
+		gone: make(chan struct{}, 1), calls: make(chan struct{}, mostCalls),
+		dial: func(ctx context.Context, addr string) (net.Conn, error) { return trunk.Dial(ctx, addr, dialIn) }}
+	f.clock = feed.NewClock(func() float64 { return time.Since(f.started).Seconds() })
+	f.seeds.Store(new([]*seed))
+	f.source = &feed.Source{Store: f.store, Clock: f.clock, Ready: f.ready.Load,
+		Members: func() int { return f.outlook().members },
+		Quorum:  func() bool { return f.outlook().quorum },
+		Renewed: func(_ string, _ uint64, ready bool) {
+			if ready {
+				f.takes.Store(int64(time.Since(f.started)))
+			}
+		},
+	}
+	return f
+}
+
+// taking tells whether a proxy takes requests: then the lease counts.
+func (f *Finder) taking() bool {
+	at := f.takes.Load()
+	return at != 0 && f.proxies.Load() > 0 && time.Since(f.started)-time.Duration(at) < renewed
+}
+
+// Follow subscribes to the control nodes of these settings, and no longer to others. Its clients end with the context.
+func (f *Finder) Follow(ctx context.Context, p *premises.Premises) {
+	var addrs []string
+	for _, s := range p.Seeds {
+		if a := p.InnerOf(s); a != "" && !slices.Contains(addrs, a) && len(addrs) < mostSeeds {
+			addrs = append(addrs, a)
+		}
+	}
+	old := *f.seeds.Load()
+	var next []*seed
+	for _, s := range old {
+		if slices.Contains(addrs, s.addr) {
+			next = append(next, s)
+		} else {
+			s.stop()
+		}
+	}
+	for _, a := range addrs {
+		if !slices.ContainsFunc(old, func(s *seed) bool { return s.addr == a }) {
+			next = append(next, f.subscribe(ctx, a, p.Node))
+		}
+	}
+	f.seeds.Store(&next)
+}
+
+// subscribe starts a client of a control node.
+func (f *Finder) subscribe(ctx context.Context, addr, node string) *seed {
+	s := &seed{addr: addr}
+	ctx, s.stop = context.WithCancel(ctx)
+	logger := log.With(f.log, "source", addr)
+	s.client = &feed.Client{Addr: addr, Node: node, Class: feed.Agent, Life: f.life, Seed: f.life, Store: f.store, Clock: f.clock,
+		Ready: f.taking, Tell: true, Dial: func(ctx context.Context) (net.Conn, error) { return f.dial(ctx, addr) },
+		OnFeed: func(news *trunk.Feed) {
+			if news.Whole && news.Ready {
+				s.whole.Store(true)
+			}
+			f.judge()
+		},
+		OnLink: func(up bool, err error) {
+			if up {
+				logger.Log("msg", "source answers")
+			} else {
+				logger.Log("msg", "source lost", "err", err)
+			}
+		},
+	}
+	f.all.Go(func() { s.client.Run(ctx) })
+	return s
+}
+
+// judge notes, once, that what is here is enough to serve with.
+func (f *Finder) judge() {
+	if !f.ready.Load() && f.outlook().enough && f.ready.CompareAndSwap(false, true) {
+		f.log.Log("msg", "ready", "items", f.store.Book().Len(), "epoch", f.store.Epoch())
+	}
+}
+
+// outlook is what the control nodes look like together.
+type outlook struct {
+	members int      // the most that one of them counts; 0: none knows
+	quorum  bool     // more than half of them are heard
+	enough  bool     // what has come from them is enough to serve with
+	living  []string // those that counter calls can go to
+}
+
+// word is what is known of one control node.
+type word struct {
+	addr  string
+	up    bool
+	whole bool
+	feed.State
+}
+
+func (f *Finder) outlook() outlook {
+	seeds := *f.seeds.Load()
+	words := make([]word, 0, mostSeeds)
+	for _, s := range seeds {
+		words = append(words, word{s.addr, s.client.Up(), s.whole.Load(), s.client.State()})
+	}
+	return look(words, time.Now(), time.Since(f.started))
+}
+
+// look judges what is known of the control nodes, so long after the start. Whoever has all from more than half of them has everything that was
+// acknowledged. Where so many do not come, one is enough that hears more than half itself, and so has it too.
+func look(words []word, now time.Time, since time.Duration) (o outlook) {
+	heard, whole, sure := 0, 0, false
+	for _, w := range words {
+		if w.whole {
+			whole++
+		}
+		if w.Life == 0 || now.Sub(w.Heard) > fresh {
+			continue
+		}
+		heard++
+		o.members = max(o.members, w.Members)
+		sure = sure || w.whole && w.Quorum
+		if w.up {
+			o.living = append(o.living, w.addr)
+		}
+	}
+	o.quorum = 2*heard > len(words)
+	o.enough = 2*whole > len(words) || since > oneIsEnough && sure
+	return o
+}
+
+// Serve takes proxies until the listener is closed.
+func (f *Finder) Serve(l net.Listener) {
+	room := make(chan struct{}, mostProxies)
+	for {
+		nc, err := l.Accept()
+		if err != nil {
+			return
+		}
+		select {
+		case room <- struct{}{}:
+			go func() {
+				f.proxy(nc)
+				<-room
+			}()
+		default:
+			nc.Close()
+		}
+	}
+}
+
+// proxy serves one connection.
+func (f *Finder) proxy(nc net.Conn) {
+	conn := trunk.NewConn(nc)
+	defer conn.Close()
+	first, err := conn.Receive()
+	if err != nil || first.Hello == nil {
+		return
+	}
+	switch first.Hello.Class {
+	case visitor:
+		looks := &feed.Source{Store: f.store, Clock: f.clock, Ready: f.source.Ready, Members: f.source.Members, Quorum: f.source.Quorum}
+		_ = looks.Serve(conn, first.Hello, nil)
+	case feed.Proxy:
+		f.proxies.Add(1)
+		f.log.Log("msg", "proxy comes", "node", first.Hello.Node)
+		err := f.source.Serve(conn, first.Hello, func(call *trunk.Frame) *trunk.Frame { return f.counter(conn, call) })
+		f.log.Log("msg", "proxy goes", "node", first.Hello.Node, "err", err)
+		if f.proxies.Add(-1) == 0 {
+			select {
+			case f.gone <- struct{}{}:
+			default:
+			}
+		}
+	}
+}
+
+// counter takes a counter call of a proxy; the answer goes out by itself once the keeper has given one.
+func (f *Finder) counter(conn *trunk.Conn, call *trunk.Frame) *trunk.Frame {
+	if call.Add == nil || call.Call == 0 {
+		return nil
+	}
+	select {
+	case f.calls <- struct{}{}:
+	default:
+		return &trunk.Frame{Total: &trunk.Total{}}
+	}
+	go func() {
+		defer func() { <-f.calls }()
+		_ = conn.Send(&trunk.Frame{Call: call.Call, Total: f.keeper(call.Add)})
+	}()
+	return nil
+}
+
+// keeper has the keeper of a counter add, as this agent sees the living, or the next one where it does not answer for it.
+func (f *Finder) keeper(add *trunk.Add) *trunk.Total {
+	living, seeds := f.outlook().living, *f.seeds.Load()
+	for try := 0; try < 2 && len(living) > 0; try++ {
+		owner := tally.Owner(add.Name, living)
+		living = slices.DeleteFunc(living, func(a string) bool { return a == owner })
+		at := slices.IndexFunc(seeds, func(s *seed) bool { return s.addr == owner })
+		if at < 0 {
+			continue // the settings changed just now
+		}
+		answer, err := seeds[at].client.Call(callIn, &trunk.Frame{Add: add})
+		if err == nil && answer.Total != nil && answer.Total.OK {
+			return answer.Total
+		}
+	}
+	return &trunk.Total{}
+}
--- /dev/null
+++ b/internal/linefinder/finder_test.go
@@ -0,0 +1,190 @@
+package linefinder
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"mulleinrouter/internal/office/directory"
+	"mulleinrouter/internal/office/feed"
+	"mulleinrouter/internal/office/lines"
+	"mulleinrouter/internal/office/premises"
+	"mulleinrouter/internal/office/tally"
+	"mulleinrouter/internal/office/trunk"
+)
+
+// core is the control nodes that run, by address. A node that is out takes no connection.
+type core struct {
+	mu    sync.Mutex
+	nodes map[string]*node
+}
+
+type node struct {
+	feed.Source
+	addr  string
+	out   bool
+	conns []net.Conn
+	adds  []string // counters added to
+	ready map[string]bool
+}
+
+func (c *core) start(n int, quorum bool) *node {
+	addr := fmt.Sprintf("10.0.0.%d:7560", n)
+	x := &node{addr: addr, ready: map[string]bool{}}
+	x.Source = feed.Source{Store: feed.NewStore(uint64(100 + n)), Clock: feed.NewClock(func() float64 { return 5 }),
+		Ready: func() bool { return true }, Quorum: func() bool { return quorum }, Members: func() int { return 10 + n },
+		Renewed: func(name string, _ uint64, ready bool) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			x.ready[name] = ready
+		}}
+	x.Store.MergeItems([]directory.Item{{Key: directory.Key{Kind: directory.Tenants, Name: fmt.Sprint("t", n)}, Version: 1, Body: []byte(`{"apiKeys":["k"]}`)}})
+	x.Store.MergeLines([]lines.Line{{ID: fmt.Sprint("i", n), Seq: 1}})
+	x.Store.SetEpoch(uint64(n))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nodes[addr] = x
+	return x
+}
+
+func (c *core) dial(_ context.Context, addr string) (net.Conn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	x := c.nodes[addr]
+	if x == nil || x.out {
+		return nil, net.ErrClosed
+	}
+	here, there := net.Pipe()
+	x.conns = append(x.conns, here)
+	go func() {
+		conn := trunk.NewConn(there)
+		if f, err := conn.Receive(); err == nil {
+			x.Serve(conn, f.Hello, func(f *trunk.Frame) *trunk.Frame {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				x.adds = append(x.adds, f.Add.Name)
+				return &trunk.Frame{Total: &trunk.Total{OK: f.Add.Name != "nobody's", Sum: f.Add.Amount, Holders: 1}}
+			})
+		}
+	}()
+	return here, nil
+}
+
+func (c *core) stop(x *node) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	x.out = true
+	for _, conn := range x.conns {
+		conn.Close()
+	}
+}
+
+func TestFinder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := &core{nodes: map[string]*node{}}
+		f := New(7, log.NewNopLogger())
+		f.dial = c.dial
+		ctx, cancel := context.WithCancel(t.Context())
+		p := &premises.Premises{Node: "edge-1", InnerFirst: 7560, Seeds: []string{"10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80"}}
+		f.Follow(ctx, p)
+
+		// The proxy comes first. It is served what there is, and told that this is not enough.
+		store := feed.NewStore(8)
+		proxy := &feed.Client{Node: "edge-1", Class: feed.Proxy, Life: 8, Store: store, Clock: feed.NewClock(func() float64 { return 0 }),
+			Ready: func() bool { return true }, Dial: func(context.Context) (net.Conn, error) {
+				here, there := net.Pipe()
+				go f.proxy(there)
+				return here, nil
+			}}
+		f.all.Go(func() { proxy.Run(ctx) })
+		pass := func(d time.Duration) { time.Sleep(d); synctest.Wait() }
+		one := c.start(1, false)
+		pass(10 * time.Second)
+		is.Equal(store.Book().Len(), 1)
+		is.True(!proxy.State().Ready && !proxy.State().Quorum)
+		two := c.start(2, true)
+		pass(3 * time.Second)
+		is.Equal(store.Book().Len(), 2)
+		is.True(proxy.State().Ready && proxy.State().Quorum)
+		is.Equal(proxy.State().Members, 12)
+		is.Equal(store.Epoch(), uint64(2))
+		ready := func(x *node) bool {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return x.ready["edge-1"]
+		}
+		is.True(ready(one) && ready(two))
+
+		// Counter calls go to the keeper that all see, and to the next one where that does not answer for them.
+		living := []string{one.addr, two.addr}
+		for i := range 20 {
+			name := fmt.Sprint("tenant-", i)
+			a, err := proxy.Call(time.Second, &trunk.Frame{Add: &trunk.Add{Name: name, Amount: float64(i)}})
+			is.NoErr(err)
+			is.Equal(*a.Total, trunk.Total{OK: true, Sum: float64(i), Holders: 1})
+			is.True(slices.Contains(c.nodes[tally.Owner(name, living)].adds, name))
+		}
+		a, err := proxy.Call(time.Second, &trunk.Frame{Add: &trunk.Add{Name: "nobody's"}})
+		is.NoErr(err)
+		is.True(!a.Total.OK)
+		is.True(slices.Contains(one.adds, "nobody's") && slices.Contains(two.adds, "nobody's"))
+
+		// One goes: what is here stays enough, but it is no quorum any more, and its counters go to the other.
+		c.stop(one)
+		pass(3 * time.Second)
+		is.True(proxy.State().Ready && !proxy.State().Quorum)
+		for i := range 20 {
+			a, err := proxy.Call(time.Second, &trunk.Frame{Add: &trunk.Add{Name: fmt.Sprint("tenant-", i)}})
+			is.NoErr(err)
+			is.True(a.Total.OK)
+		}
+
+		// Other settings: another core, whose news comes through.
+		four := c.start(4, true)
+		f.Follow(ctx, &premises.Premises{Node: "edge-1", InnerFirst: 7560, Seeds: []string{"10.0.0.2:80", "10.0.0.4:80"}})
+		pass(3 * time.Second)
+		is.True(proxy.State().Quorum)
+		l, ok := store.Line("i4")
+		is.True(ok && l.Seq == 1)
+		is.Equal(proxy.State().Members, 14)
+		is.True(ready(four))
+		cancel()
+		f.all.Wait()
+	})
+}
+
+func TestLook(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	said := func(ago time.Duration, whole, quorum bool) word {
+		return word{addr: "a", up: true, whole: whole, State: feed.State{Life: 1, Quorum: quorum, Heard: now.Add(-ago)}}
+	}
+	never := word{}
+	for _, x := range []struct {
+		words          []word
+		since          time.Duration
+		quorum, enough bool
+	}{
+		{[]word{said(0, true, true), said(0, true, true), never}, 0, true, true},
+		{[]word{said(0, true, true), said(0, false, true), never}, 0, true, false},
+		{[]word{said(0, true, true), never, never}, time.Second, false, false},
+		{[]word{said(0, true, true), never, never}, 6 * time.Second, false, true},
+		{[]word{said(0, true, false), never, never}, 6 * time.Second, false, false},
+		{[]word{said(3*time.Second, true, true), never, never}, 6 * time.Second, false, false},
+		{[]word{said(0, true, true)}, 0, true, true},
+		{nil, 6 * time.Second, false, false},
+	} {
+		o := look(x.words, now, x.since)
+		is.Equal(o.quorum, x.quorum)
+		is.Equal(o.enough, x.enough)
+	}
+}
--- /dev/null
+++ b/internal/office/feed/source.go
@@ -0,0 +1,140 @@
+package feed
+
+import (
+	"time"
+
+	"mulleinrouter/internal/office/lines"
+	"mulleinrouter/internal/office/trunk"
+)
+
+const (
+	pieceOf   = 64 << 10               // bytes of a feed, about
+	gather    = 2 * time.Millisecond   // news that come closer together go in one feed
+	beatsEach = 400 * time.Millisecond // at the first feed so long after the last that had them
+	mostBeat  = 2048                   // beats in one feed
+)
+
+// Classes of those who subscribe.
+const (
+	Agent   = "agent"   // of an edge machine, to a control node
+	Proxy   = "proxy"   // to the agent beside it
+	Control = "control" // of another control node
+)
+
+// Source serves subscribers of a Store. Its functions are called from many goroutines, must not wait, and may be nil where it
+// says so.
+type Source struct {
+	Store   *Store
+	Clock   *Clock
+	Members func() int                                            // ingresses with a lease; nil: not known
+	Ready   func() bool                                           // a newcomer may serve with what it gets here; nil: no
+	Quorum  func() bool                                           // more than half of the core is heard; nil: no
+	Epoch   func() uint64                                         // nil: that of the Store
+	Learn   func(ls []lines.Line)                                 // lines that a subscriber knows and this source may have lost; nil: not wanted
+	Renewed func(node string, life uint64, ready bool)            // an agent or a proxy renewed its lease; nil: nobody asks
+	Beats   func(since uint64) (heard []trunk.Heard, last uint64) // for control nodes: lines.Registry.Recent; nil: none
+}
+
+// Serve sends a subscriber what it lacks, news as they come and a heartbeat each half second, and takes its frames until the connection
+// ends; it returns why. Calls, and whatever else is no matter of subscription, go to other (see trunk.Conn.Run); nil: passed over.
+func (s *Source) Serve(conn *trunk.Conn, hello *trunk.Hello, other func(*trunk.Frame) *trunk.Frame) error {
+	defer conn.Close()
+	s.learn(hello)
+	ended := make(chan error, 1)
+	go func() {
+		ended <- conn.Run(func(f *trunk.Frame) *trunk.Frame {
+			switch {
+			case f.Renew != nil:
+				s.Clock.Heard(f.Renew.Clock, 0)
+				if s.Renewed != nil && hello.Class != Control {
+					s.Renewed(hello.Node, hello.Life, f.Renew.Ready)
+				}
+			case f.Hello != nil:
+				s.learn(f.Hello)
+			case other != nil:
+				return other(f)
+			}
+			return nil
+		})
+	}()
+	s.send(conn, hello)
+	conn.Close()
+	return <-ended
+}
+
+func (s *Source) learn(hello *trunk.Hello) {
+	if s.Learn != nil && len(hello.Lines) > 0 {
+		s.Learn(hello.Lines)
+	}
+}
+
+// send sends feeds until the connection ends. It wakes for news and once in half a second.
+func (s *Source) send(conn *trunk.Conn, hello *trunk.Hello) {
+	seq, beats := uint64(0), uint64(0)
+	if hello.Of == s.Store.Life() {
+		seq = hello.Seq
+	}
+	tellsBeats := hello.Class == Control && s.Beats != nil
+	if tellsBeats {
+		_, beats = s.Beats(0) // what was heard before is old by now
+	}
+	timer := time.NewTimer(trunk.Beat)
+	defer timer.Stop()
+	var lastBeats time.Time
+	for {
+		news := s.Store.Changed()
+		f := s.status()
+		f.Items, f.Lines, seq, f.Whole = s.Store.Since(seq, pieceOf)
+		f.Seq = seq
+		at := time.Now()
+		more := !f.Whole
+		if tellsBeats && at.Sub(lastBeats) >= beatsEach {
+			f.Heard, beats = s.Beats(beats)
+			if len(f.Heard) < mostBeat {
+				lastBeats = at
+			} else {
+				more = true
+			}
+		}
+		if err := conn.Send(&trunk.Frame{Feed: f}); err != nil {
+			return
+		}
+		if more {
+			continue
+		}
+		if !wait(timer, trunk.Beat, news, conn.Done()) {
+			return
+		}
+		if left := gather - time.Since(at); left > 0 && !wait(timer, left, nil, conn.Done()) {
+			return
+		}
+	}
+}
+
+// wait waits for news or the end of a time; false: the connection has ended.
+func wait(timer *time.Timer, most time.Duration, news, done <-chan struct{}) bool {
+	timer.Reset(most)
+	select {
+	case <-done:
+		return false
+	case <-news:
+	case <-timer.C:
+	}
+	return true
+}
+
+// status is a feed without news.
+func (s *Source) status() *trunk.Feed {
+	f := &trunk.Feed{Life: s.Store.Life(), Clock: s.Clock.Now()}
+	if s.Members != nil {
+		f.Members = s.Members()
+	}
+	f.Ready = s.Ready != nil && s.Ready()
+	f.Quorum = s.Quorum != nil && s.Quorum()
+	if s.Epoch != nil {
+		f.Epoch = s.Epoch()
+	} else {
+		f.Epoch = s.Store.Epoch()
+	}
+	return f
+}
--- /dev/null
+++ b/internal/office/feed/store.go
@@ -0,0 +1,300 @@
+package feed
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"mulleinrouter/internal/office/directory"
+	"mulleinrouter/internal/office/lines"
+)
+
+// Store is what a process knows: the items of the configuration, the lines of the servers, and the order in which they last
+// changed. Each change has the next number of a sequence that belongs to the life of the process. Safe for several
+// goroutines.
+type Store struct {
+	life  uint64
+	book  atomic.Pointer[directory.Book]
+	epoch atomic.Uint64
+
+	mu      sync.Mutex
+	seq     uint64
+	slots   []slot  // what is known, in no order
+	free    []int32 // slots that are not in use
+	items   map[directory.Key]int32
+	lines   map[string]int32
+	log     []change // changes in order; that of a slot which changed again since is void
+	news    chan struct{}
+	waiting bool // somebody has news
+	names   map[string]string
+}
+
+// slot is the last change of an item or of a line. The items themselves are in the book.
+type slot struct {
+	seq  uint64
+	key  directory.Key // kind 0: a line
+	line lines.Line
+}
+
+type change struct {
+	seq  uint64
+	slot int32
+}
+
+// What one thing counts in a frame beside its strings and its body, about, in bytes.
+const overhead = 32
+
+// NewStore makes an empty store of a process with that life: a number no other process has had, not 0.
+func NewStore(life uint64) *Store {
+	s := &Store{life: life, items: map[directory.Key]int32{}, lines: map[string]int32{}, news: make(chan struct{}), names: map[string]string{}}
+	s.book.Store(new(directory.Book))
+	return s
+}
+
+// Life returns the life that the sequence belongs to.
+func (s *Store) Life() uint64 { return s.life }
+
+// Book returns the items as they are now; it never changes.
+func (s *Store) Book() *directory.Book { return s.book.Load() }
+
+// Epoch returns the newest whole of the configuration that is complete here; 0: none.
+func (s *Store) Epoch() uint64 { return s.epoch.Load() }
+
+// SetEpoch notes that a whole is complete here. It never goes back.
+func (s *Store) SetEpoch(epoch uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if epoch > s.epoch.Load() {
+		s.epoch.Store(epoch)
+		s.wake()
+	}
+}
+
+// Seq returns the number of the last change.
+func (s *Store) Seq() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seq
+}
+
+// Changed returns a channel that is closed at the next change. Take it before looking at what is there.
+func (s *Store) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting = true
+	return s.news
+}
+
+func (s *Store) wake() {
+	if s.waiting {
+		close(s.news)
+		s.news, s.waiting = make(chan struct{}), false
+	}
+}
+
+// MergeItems takes items in, and returns those that are new here. Where another told an older version of one, this one's is news
+// again, so that whoever told it is mended.
+func (s *Store) MergeItems(items []directory.Item) (changed []directory.Item) {
+	if len(items) == 0 {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next, changed := s.book.Load().Merge(items)
+	s.book.Store(next)
+	for _, i := range changed {
+		s.note(s.item(i.Key))
+	}
+	if len(changed) < len(items) {
+		for _, i := range items {
+			if known, ok := next.Get(i.Key); ok && known.Newer(i) {
+				s.note(s.item(i.Key))
+			}
+		}
+	}
+	return changed
+}
+
+// MergeLines takes lines in, and returns those that say something new here. A later call that says the same is only noted. Where
+// another told what is out of date, the line known here is news again, so that whoever told it is mended.
+func (s *Store) MergeLines(ls []lines.Line) (changed []lines.Line) {
+	if len(ls) == 0 {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range ls {
+		if !l.Proper() {
+			continue
+		}
+		at, known := s.lines[l.ID]
+		if !known {
+			at = s.slot()
+			s.lines[l.ID] = at
+			s.put(at, l)
+			s.note(at)
+			changed = append(changed, l)
+			continue
+		}
+		old := s.slots[at].line
+		switch wins, differs := l.Wins(old), l.Differs(old); {
+		case wins && differs:
+			s.put(at, l)
+			s.note(at)
+			changed = append(changed, l)
+		case wins:
+			s.put(at, l)
+		case differs && old.Wins(l):
+			s.note(at)
+		}
+	}
+	return changed
+}
+
+// put keeps a line. The few names that all lines share are kept once.
+func (s *Store) put(at int32, l lines.Line) {
+	for _, name := range [...]*string{&l.Service, &l.Zone, &l.Generation} {
+		if one, ok := s.names[*name]; ok {
+			*name = one
+		} else if len(s.names) < 1<<14 {
+			s.names[*name] = *name
+		}
+	}
+	if old := &s.slots[at].line; old.ID == l.ID {
+		l.ID = old.ID
+		if old.Address == l.Address {
+			l.Address = old.Address
+		}
+	}
+	s.slots[at].line = l
+}
+
+// ForgetLines drops lines without a word to anybody: gone ones, long after, and silent ones that nobody hopes for.
+func (s *Store) ForgetLines(ids []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range ids {
+		if at, ok := s.lines[id]; ok {
+			s.drop(at)
+		}
+	}
+}
+
+// ForgetOld drops the gone and the silent lines that last changed at or before that number. Who has no Registry calls it now and
+// then with the Seq of some minutes ago. It goes through all lines.
+func (s *Store) ForgetOld(seq uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, at := range s.lines {
+		if e := &s.slots[at]; e.seq <= seq && (e.line.Phase == lines.Gone || e.line.Phase == lines.Silent) {
+			s.drop(at)
+		}
+	}
+}
+
+func (s *Store) drop(at int32) {
+	delete(s.lines, s.slots[at].line.ID)
+	s.slots[at] = slot{}
+	s.free = append(s.free, at)
+}
+
+// Line returns the line of an id.
+func (s *Store) Line(id string) (lines.Line, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, ok := s.lines[id]
+	if !ok {
+		return lines.Line{}, false
+	}
+	return s.slots[at].line, true
+}
+
+// Lines returns all lines, in no order that means anything. It copies them all: for a start, not for each change, which Since tells.
+func (s *Store) Lines() []lines.Line {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]lines.Line, 0, len(s.lines))
+	for i := range s.slots {
+		if l := &s.slots[i].line; l.ID != "" {
+			all = append(all, *l)
+		}
+	}
+	return all
+}
+
+// Since returns what changed behind that number, each thing once, as it is now and in order of its last change: at least one where
+// there is any, and else no more than about that many bytes. Last is the number to ask with next; whole, that nothing more
+// is behind it. It costs what it returns.
+func (s *Store) Since(seq uint64, most int) (items []directory.Item, ls []lines.Line, last uint64, whole bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, _ := slices.BinarySearchFunc(s.log, seq, func(c change, seq uint64) int {
+		if c.seq <= seq {
+			return -1
+		}
+		return 1
+	})
+	book, size := s.book.Load(), 0
+	for ; at < len(s.log); at++ {
+		c := s.log[at]
+		e := &s.slots[c.slot]
+		if e.seq != c.seq {
+			continue
+		}
+		var item directory.Item
+		if e.key.Kind != 0 {
+			item, _ = book.Get(e.key)
+			size += overhead + len(e.key.Name) + len(item.Body)
+		} else {
+			l := &e.line
+			size += overhead + len(l.ID) + len(l.Service) + len(l.Address) + len(l.Zone) + len(l.Generation)
+		}
+		if size > most && len(items)+len(ls) > 0 {
+			return items, ls, last, false
+		}
+		if e.key.Kind != 0 {
+			items = append(items, item)
+		} else {
+			ls = append(ls, e.line)
+		}
+		last = c.seq
+	}
+	return items, ls, s.seq, true
+}
+
+// item finds the slot of an item, or makes one.
+func (s *Store) item(k directory.Key) int32 {
+	at, ok := s.items[k]
+	if !ok {
+		at = s.slot()
+		s.slots[at].key = k
+		s.items[k] = at
+	}
+	return at
+}
+
+func (s *Store) slot() int32 {
+	if n := len(s.free); n > 0 {
+		at := s.free[n-1]
+		s.free = s.free[:n-1]
+		return at
+	}
+	if len(s.slots) == math.MaxInt32 {
+		panic("feed: a store of two thousand million things")
+	}
+	s.slots = append(s.slots, slot{})
+	return int32(len(s.slots) - 1)
+}
+
+// note gives a slot the next number. Once most changes of the log are void, they are left out; that costs no more than it
+// took to make them.
+func (s *Store) note(at int32) {
+	s.seq++
+	s.slots[at].seq = s.seq
+	s.log = append(s.log, change{s.seq, at})
+	if len(s.log) > 64+2*(len(s.slots)-len(s.free)) {
+		s.log = slices.DeleteFunc(s.log, func(c change) bool { return s.slots[c.slot].seq != c.seq })
+	}
+	s.wake()
+}
--- /dev/null
+++ b/internal/office/trunk/frame.go
@@ -0,0 +1,132 @@
+// Package trunk is what the processes of the system say to one another: frames of CBOR with their length before them, over
+// TCP between machines and over loopback between a proxy and the agent beside it. Whatever comes is input: lengths are
+// bounded, unknown fields are passed over, and a frame that cannot be read ends its connection.
+package trunk
+
+import (
+	"mulleinrouter/internal/office/directory"
+	"mulleinrouter/internal/office/lines"
+	"mulleinrouter/internal/tandem/ballot"
+)
+
+// Frame is one message. At most one of the pointers is set; Call names a call, and its answer bears the same number.
+type Frame struct {
+	Call uint64 `cbor:"1,keyasint,omitempty"`
+
+	Hello *Hello `cbor:"2,keyasint,omitempty"` // first on a connection that subscribes
+	Feed  *Feed  `cbor:"3,keyasint,omitempty"` // from a source to who subscribes
+	Renew *Renew `cbor:"4,keyasint,omitempty"` // back to the source: the lease is renewed
+	Add   *Add   `cbor:"5,keyasint,omitempty"` // a call of the keeper of counters
+	Total *Total `cbor:"6,keyasint,omitempty"`
+
+	Prepare  *Prepare  `cbor:"7,keyasint,omitempty"` // of one control node to another: see tandem/ballot
+	Promise  *Promise  `cbor:"8,keyasint,omitempty"`
+	Accept   *Accept   `cbor:"9,keyasint,omitempty"`
+	Accepted *Accepted `cbor:"10,keyasint,omitempty"`
+	Chosen   *Chosen   `cbor:"11,keyasint,omitempty"`
+	Since    *Since    `cbor:"12,keyasint,omitempty"`
+	Items    *Items    `cbor:"13,keyasint,omitempty"`
+	Hold     *Hold     `cbor:"14,keyasint,omitempty"` // keep these lines on disk before you answer
+	Held     *Held     `cbor:"15,keyasint,omitempty"`
+}
+
+// Hello subscribes to a source.
+type Hello struct {
+	Node  string       `cbor:"1,keyasint"`           // whose
+	Class string       `cbor:"2,keyasint"`           // "agent", "proxy" or "control"
+	Life  uint64       `cbor:"3,keyasint"`           // of the process that subscribes, drawn at its start
+	Of    uint64       `cbor:"4,keyasint,omitempty"` // life of the source that Seq belongs to
+	Seq   uint64       `cbor:"5,keyasint,omitempty"` // had from that life already: only what is behind it is sent
+	Lines []lines.Line `cbor:"6,keyasint,omitempty"` // known here; a source that lost its own learns them (read repair)
+	Epoch uint64       `cbor:"7,keyasint,omitempty"` // of the newest whole that is complete here
+	At    string       `cbor:"8,keyasint,omitempty"` // where a control node that subscribes is itself reached, host:port
+}
+
+// Feed is news from a source: a heartbeat where it has nothing else. Seq is that of the last of its changes that is in it.
+type Feed struct {
+	Life    uint64           `cbor:"1,keyasint"`
+	Seq     uint64           `cbor:"2,keyasint"`
+	Whole   bool             `cbor:"3,keyasint,omitempty"` // nothing more is behind this now
+	Items   []directory.Item `cbor:"4,keyasint,omitempty"`
+	Lines   []lines.Line     `cbor:"5,keyasint,omitempty"`
+	Heard   []Heard          `cbor:"6,keyasint,omitempty"`  // beats, for control nodes alone
+	Members int              `cbor:"7,keyasint,omitempty"`  // ingresses whose lease runs, as the source counts them; 0: it does not know
+	Clock   float64          `cbor:"8,keyasint,omitempty"`  // common clock as this was sent, in seconds
+	Epoch   uint64           `cbor:"9,keyasint,omitempty"`  // the whole of the configuration that the source has
+	Ready   bool             `cbor:"10,keyasint,omitempty"` // the source has what a newcomer needs before it serves
+	Quorum  bool             `cbor:"11,keyasint,omitempty"` // the source hears more than half of the core
+}
+
+// Heard is a beat of a server, told among control nodes.
+type Heard = lines.Heard
+
+// Renew renews a lease.
+type Renew struct {
+	Clock float64 `cbor:"1,keyasint,omitempty"`
+	Ready bool    `cbor:"2,keyasint,omitempty"` // it takes requests: it counts as an ingress
+}
+
+// Add adds what a holder asked in a cycle, or, with Read, only reads. One holder adds once to a cycle: what comes again under
+// the same holder, life and cycle takes the place of what was there.
+type Add struct {
+	Name   string  `cbor:"1,keyasint"` // of the counter: a tenant and its terms
+	Cycle  int64   `cbor:"2,keyasint"`
+	Holder string  `cbor:"3,keyasint"`
+	Amount float64 `cbor:"4,keyasint,omitempty"`
+	Read   bool    `cbor:"5,keyasint,omitempty"`
+	Keep   float64 `cbor:"6,keyasint,omitempty"` // seconds for which the cycle is kept
+	One    bool    `cbor:"7,keyasint,omitempty"` // each call adds anew (requests that are reports of their own); Serial tells them apart
+	Serial uint64  `cbor:"8,keyasint,omitempty"`
+}
+
+// Total is a keeper's answer. Not OK: it is not the keeper of that name, or not yet sure to be.
+type Total struct {
+	OK      bool    `cbor:"1,keyasint,omitempty"`
+	Sum     float64 `cbor:"2,keyasint,omitempty"`
+	Holders int     `cbor:"3,keyasint,omitempty"`
+}
+
+// Prepare asks a control node to promise to a ballot. Read: it only wants to know, and no promise is made.
+type Prepare struct {
+	Ballot ballot.Ballot `cbor:"1,keyasint"`
+	Read   bool          `cbor:"2,keyasint,omitempty"`
+}
+
+// Promise is the answer to Prepare.
+type Promise struct{ ballot.Promise }
+
+// Accept asks a control node to accept a change.
+type Accept struct{ ballot.Proposal }
+
+// Accepted is the answer to Accept.
+type Accepted struct{ ballot.Accepted }
+
+// Chosen tells that a change has been chosen.
+type Chosen struct{ ballot.Proposal }
+
+// Since asks for the chosen items that are newer than an epoch; with Blank, by a node whose disk is empty.
+type Since struct {
+	Epoch uint64 `cbor:"1,keyasint"`
+	Blank bool   `cbor:"2,keyasint,omitempty"`
+}
+
+// Items answers Since: all items chosen behind that epoch, up to and with Epoch.
+type Items struct {
+	Epoch    uint64           `cbor:"1,keyasint"`
+	Items    []directory.Item `cbor:"2,keyasint,omitempty"`
+	Promised ballot.Ballot    `cbor:"3,keyasint,omitempty"`
+	Pending  *ballot.Proposal `cbor:"4,keyasint,omitempty"`
+	Blank    bool             `cbor:"5,keyasint,omitempty"` // the one that answers has an empty disk itself, and knows nothing
+	Voters   []string         `cbor:"6,keyasint,omitempty"` // addresses of the control nodes that choose
+	Lines    []lines.Line     `cbor:"7,keyasint,omitempty"` // kept on its disk
+}
+
+// Hold asks a control node to keep lines on its disk, synced, before it answers.
+type Hold struct {
+	Lines []lines.Line `cbor:"1,keyasint"`
+}
+
+// Held answers Hold.
+type Held struct {
+	OK bool `cbor:"1,keyasint,omitempty"`
+}
