--- /dev/null
+++ b/cmd/testboard/try.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"mulleinrouter/internal/testboard/floor"
+)
+
+// tryCmd plays the three programs on this box, with stand-ins around them.
+type tryCmd struct {
+	Core   int           `default:"3" help:"Control nodes."`
+	Edge   int           `default:"3" help:"Edge machines, each with a proxy and an agent."`
+	For    time.Duration `default:"30s" help:"How long there is traffic."`
+	Faults string        `help:"A file of lines \"SECONDS NAME [TARGET]\", or names of faults joined by commas, which come when the seed says."`
+	Seed   uint64        `default:"1" help:"Of all that is drawn."`
+	Bin    string        `default:"target" type:"existingdir" help:"Folder of switchboard, linefinder and tandem."`
+	Load   float64       `default:"1" help:"Of the usual 120 requests a second."`
+	Brisk  bool          `help:"Hold the machines to tighter times than usual, sooner after trouble."`
+	List   bool          `help:"List the faults, and do nothing else."`
+}
+
+func (c *tryCmd) Run(logger log.Logger) error {
+	if c.List {
+		names, help := floor.Names()
+		for n, name := range names {
+			fmt.Printf("%-14s %s\n", name, help[n])
+		}
+		return nil
+	}
+	schedule, err := floor.Schedule(c.Faults, c.For, c.Seed)
+	if err != nil {
+		return unusable{err}
+	}
+	dir, err := os.MkdirTemp("", "testboard-try-")
+	if err != nil {
+		return err
+	}
+	o := floor.Options{Core: c.Core, Edge: c.Edge, For: c.For, Faults: schedule, Seed: c.Seed, Bin: c.Bin, Load: c.Load, Dir: dir}
+	if c.Brisk {
+		o.Bounds = floor.Brisk()
+		o.Beat = 500 * time.Millisecond
+	}
+	for _, x := range schedule {
+		logger.Log("msg", "fault planned", "at", x.At, "name", x.Name, "target", x.Target)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	report, err := floor.Play(ctx, o)
+	if err != nil {
+		return fmt.Errorf("%w\nlogs are in %s", err, dir)
+	}
+	var text strings.Builder
+	if err := report.Write(&text); err != nil {
+		return err
+	}
+	fmt.Print(text.String())
+	if n := len(report.Breaches); n > 0 {
+		return fmt.Errorf("%d instances of broken rules", n)
+	}
+	return os.RemoveAll(dir)
+}
--- a/internal/office/premises/premises.go
+++ b/internal/office/premises/premises.go
@@ -162,9 +162,14 @@
 // Inner is where this machine is reached by the others of the system, host:port.
 func (p *Premises) Inner() string { return net.JoinHostPort(p.Host, strconv.Itoa(p.InnerFirst)) }
 
-// Loopback is where the agent on this machine is reached by the proxy beside it, host:port.
+// Loopback is where the agent on this machine is reached by the proxy beside it, host:port. A machine whose own address is a loopback
+// one, as where several stand on one box, has its agent there: 127.0.0.1 would be the same for all of them.
 func (p *Premises) Loopback() string {
-	return net.JoinHostPort("127.0.0.1", strconv.Itoa(p.InnerFirst))
+	host := "127.0.0.1"
+	if ip, err := netip.ParseAddr(p.Host); err == nil && ip.IsLoopback() {
+		host = p.Host
+	}
+	return net.JoinHostPort(host, strconv.Itoa(p.InnerFirst))
 }
 
 // InnerOf is where the control node that serves at this address is reached by the others of the system: ports are the same on all
--- a/internal/office/premises/premises_test.go
+++ b/internal/office/premises/premises_test.go
@@ -52,6 +52,9 @@
 	is.Equal([]float64{p.Beat, p.Bounds.Drain, p.Bounds.Grace, p.Bounds.Contact, p.Bounds.RetryRatio}, []float64{1.25, 2.75, 7.5, 3, 0.2})
 	is.Equal([]string{p.Inner(), p.Loopback(), p.InnerOf("10.9.0.1:9000"), p.InnerOf("a.example:9000")},
 		[]string{"10.9.0.7:7000", "127.0.0.1:7000", "10.9.0.1:7000", ""})
+	several := *p
+	several.Host = "127.1.0.7" // several machines on one box
+	is.Equal(several.Loopback(), "127.1.0.7:7000")
 	is.NoErr(p.Need("switchboard"))
 	is.NoErr(p.Need("linefinder"))
 	is.Equal(p.Need("tandem").Error(),
--- a/internal/purity/purity_test.go
+++ b/internal/purity/purity_test.go
@@ -13,12 +13,12 @@
 )
 
 // pure lists the packages that decide: free of I/O, clock and goroutines.
-var pure = []string{"passhub", "internal/attempt", "internal/backoff", "internal/ceiling", "internal/client", "internal/fleet/announce", "internal/fleet/duty", "internal/fleet/membership", "internal/fleet/share", "internal/link", "internal/odds", "internal/overlap", "internal/plans", "internal/retry", "internal/usage"}
+var pure = []string{"passhub", "internal/attempt", "internal/backoff", "internal/ceiling", "internal/client", "internal/fleet/announce", "internal/fleet/duty", "internal/fleet/membership", "internal/fleet/share", "internal/link", "internal/odds", "internal/office/directory", "internal/office/lines", "internal/office/tally", "internal/tandem/ballot", "internal/overlap", "internal/plans", "internal/retry", "internal/usage"}
 
 // harmless lists what they may import besides each other: nothing here reads a clock, a file or a socket, or
 // starts a goroutine. rand/v2 is used with seeds that the host gives.
-var harmless = []string{"cmp", "encoding/binary", "errors", "fmt", "hash/crc32", "hash/fnv", "iter", "maps", "math", "math/bits", "math/rand/v2",
-	"slices", "sort", "strconv", "strings"}
+var harmless = []string{"bytes", "cmp", "encoding/binary", "errors", "fmt", "hash/crc32", "hash/fnv", "iter", "maps", "math", "math/bits", "math/rand/v2",
+	"slices", "sort", "strconv", "strings", "unicode", "unicode/utf16", "unicode/utf8"}
 
 func TestDecisionsAreFreeOfInputAndOutput(t *testing.T) {
 	for _, dir := range pure {
--- /dev/null
+++ b/internal/tandem/ballot/ballot.go
@@ -0,0 +1,47 @@
+// Package ballot chooses changes of the configuration among the control nodes, without a log and without a leader: the whole
+// is one register, and any node may change it. A change is chosen once more than half of the voters have it on their
+// disks; who proposes the next one first learns of it from more than half, and so builds on it. Each change has an epoch, one more
+// than that of the whole it was checked against, so that two changes that are valid alone and invalid together are never
+// both chosen. It does no I/O, reads no clock and starts no goroutine.
+package ballot
+
+import (
+	"cmp"
+
+	"mulleinrouter/internal/office/directory"
+)
+
+// Ballot numbers a try at a change. The zero one is before all.
+type Ballot struct {
+	Round uint64 `cbor:"1,keyasint,omitempty"`
+	Node  string `cbor:"2,keyasint,omitempty"`
+}
+
+// Compare orders ballots.
+func (b Ballot) Compare(o Ballot) int {
+	return cmp.Or(cmp.Compare(b.Round, o.Round), cmp.Compare(b.Node, o.Node))
+}
+
+// Proposal is a change under a ballot: these items, upon the whole of the epoch before.
+type Proposal struct {
+	Ballot Ballot           `cbor:"1,keyasint"`
+	Epoch  uint64           `cbor:"2,keyasint"`
+	Items  []directory.Item `cbor:"3,keyasint,omitempty"`
+}
+
+// Promise answers a ballot: whether it is promised, what was promised and accepted before, and the epoch of the last whole
+// that is known to be chosen.
+type Promise struct {
+	OK       bool      `cbor:"1,keyasint,omitempty"`
+	Promised Ballot    `cbor:"2,keyasint"`
+	Epoch    uint64    `cbor:"3,keyasint"`
+	Pending  *Proposal `cbor:"4,keyasint,omitempty"` // accepted, not known to be chosen
+}
+
+// Accepted answers a proposal. Behind: the voter lacks the whole that it builds on, and Epoch is what it has.
+type Accepted struct {
+	OK       bool   `cbor:"1,keyasint,omitempty"`
+	Behind   bool   `cbor:"2,keyasint,omitempty"`
+	Promised Ballot `cbor:"3,keyasint"`
+	Epoch    uint64 `cbor:"4,keyasint"`
+}
--- /dev/null
+++ b/internal/tandem/ballot/compose.go
@@ -0,0 +1,46 @@
+package ballot
+
+import "mulleinrouter/internal/office/directory"
+
+// Verdict is what becomes of a call of an operator upon a whole.
+type Verdict struct {
+	Within bool  // it goes with the proposal, and is taken once that is chosen
+	Void   bool  // all of it is chosen already, or overtaken by what is
+	Err    error // it is refused
+} // none of them: it is to be looked at again upon the next whole
+
+// Compose picks the items of the next proposal from calls that wait, in their order. A call goes in only if it is valid both upon the
+// whole by itself and behind those before it: any two nodes with the same whole refuse the same calls, whatever they are
+// chosen with, and so none refuses what another one's proposal still brings. Where a call is refused, the whole must be
+// known to be the newest (Action.Sure) before that is said. Most is how many bytes of items may go in, about; the first one always may.
+func Compose[W any](whole W, calls [][]directory.Item, most int, check func(W, []directory.Item) ([]directory.Item, W, error)) (items []directory.Item, verdicts []Verdict) {
+	verdicts = make([]Verdict, len(calls))
+	next, size := whole, 0
+	for n, call := range calls {
+		changed, alone, err := check(whole, call)
+		switch {
+		case err != nil:
+			verdicts[n].Err = err
+			continue
+		case len(changed) == 0:
+			verdicts[n].Void = true
+			continue
+		}
+		bytes := 0
+		for _, i := range changed {
+			bytes += 64 + len(i.Key.Name) + len(i.Body)
+		}
+		if size > 0 {
+			if size+bytes > most {
+				continue
+			}
+			if changed, alone, err = check(next, call); err != nil {
+				continue
+			}
+		}
+		next, size = alone, size+bytes
+		items = append(items, changed...)
+		verdicts[n].Within = true
+	}
+	return items, verdicts
+}
--- /dev/null
+++ b/internal/tandem/ballot/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package ballot
+
+const walks = 10000
--- /dev/null
+++ b/internal/tandem/calls.go
@@ -0,0 +1,292 @@
+package tandem
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	stdlog "log"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+
+	"mulleinrouter/internal/office/directory"
+	"mulleinrouter/internal/office/lines"
+)
+
+const (
+	changeMost  = 850 * time.Millisecond // an operator waits for a second, and longer where the call is long
+	holdMost    = 800 * time.Millisecond
+	mostControl = 512 // connections; servers call once in a beat and need none in between
+	beatBytes   = 4 << 10
+	patchBytes  = 28 << 20 // what a frame between control nodes holds
+	bigBytes    = 1 << 20  // of longer bodies only two are read at once
+	longID      = 256
+	mostSlots   = 1 << 16
+	coldMost    = 600 // seconds
+	idleFor     = 5 * time.Second
+	bodyWithin  = 10 * time.Second
+)
+
+// call is one that servers or operators make.
+type call struct {
+	pattern string // method and path
+	bytes   int64  // of the body, at most
+	do      func(*Node, *http.Request, []byte) answer
+}
+
+// calls is all of them.
+var calls = []call{
+	{"PUT /instances/{id}", beatBytes, (*Node).beat},
+	{"DELETE /instances/{id}", beatBytes, (*Node).leave},
+	{"PATCH /config", patchBytes, (*Node).patch},
+	{"GET /config", 0, (*Node).readBack},
+	{"GET /view", 0, (*Node).view},
+}
+
+// answer is what a call gets: a status and a body of JSON.
+type answer struct {
+	status int
+	body   []byte
+}
+
+var done = answer{http.StatusOK, []byte("{}")}
+
+func no(status int, message string) answer {
+	b, err := json.Marshal(map[string]string{"message": message})
+	if err != nil {
+		panic(err) // a string always has a form
+	}
+	return answer{status, b}
+}
+
+func noMajority(err error) answer { return no(http.StatusServiceUnavailable, err.Error()) }
+
+// server serves the calls.
+func (n *Node) server() *http.Server {
+	mux := http.NewServeMux()
+	for _, c := range calls {
+		mux.HandleFunc(c.pattern, func(w http.ResponseWriter, r *http.Request) {
+			a := n.serveCall(c, w, r)
+			h := w.Header()
+			h.Set("Content-Type", "application/json")
+			h.Set("Content-Length", strconv.Itoa(len(a.body)))
+			w.WriteHeader(a.status)
+			_, _ = w.Write(a.body) // who does not take it calls again
+		})
+	}
+	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		w.WriteHeader(http.StatusNotFound)
+		_, _ = w.Write(no(http.StatusNotFound, "no such call").body)
+	})
+	return &http.Server{Handler: mux, ReadHeaderTimeout: 2 * time.Second, ReadTimeout: bodyWithin, WriteTimeout: 2 * bodyWithin, IdleTimeout: idleFor,
+		MaxHeaderBytes: 8 << 10, ErrorLog: stdlog.New(log.NewStdlibAdapter(n.log), "", 0)}
+}
+
+func (n *Node) serveCall(c call, w http.ResponseWriter, r *http.Request) answer {
+	if r.ContentLength > c.bytes {
+		return no(http.StatusRequestEntityTooLarge, "the body is too long")
+	}
+	if c.bytes > bigBytes && (r.ContentLength > bigBytes || r.ContentLength < 0) {
+		select {
+		case n.big <- struct{}{}:
+			defer func() { <-n.big }()
+		case <-time.After(changeMost):
+			return no(http.StatusServiceUnavailable, "other large calls are being read")
+		}
+	}
+	body, err := read(http.MaxBytesReader(w, r.Body, c.bytes), r.ContentLength)
+	var long *http.MaxBytesError
+	switch {
+	case errors.As(err, &long):
+		return no(http.StatusRequestEntityTooLarge, "the body is too long")
+	case err != nil:
+		return no(http.StatusBadRequest, "the body did not come")
+	}
+	return c.do(n, r, body)
+}
+
+// read reads a body. For a long one memory is taken as it comes, not as its length claims.
+func read(r io.Reader, length int64) ([]byte, error) {
+	if length < 0 || length > bigBytes {
+		return io.ReadAll(r)
+	}
+	b := make([]byte, length)
+	_, err := io.ReadFull(r, b)
+	return b, err
+}
+
+// serverCall is the body of a server's call.
+type serverCall struct {
+	Address string `json:"address"`
+	Summary struct {
+		Backend    string `json:"backend"`
+		Generation string `json:"generation"`
+		Zone       string `json:"zone"`
+		Capacity   int    `json:"capacity"`
+	} `json:"summary"`
+	Observed struct {
+		Phase      string  `json:"phase"`
+		CallSeq    uint64  `json:"callSeq"`
+		ColdLeftMs float64 `json:"coldLeftMs"`
+	} `json:"observed"`
+}
+
+// line is what a server says of itself, checked.
+func (n *Node) line(id string, body []byte) (l lines.Line, err error) {
+	if id == "" || len(id) > longID {
+		return l, errors.New("no proper id")
+	}
+	var c serverCall
+	if err := json.Unmarshal(body, &c); err != nil {
+		return l, errors.New("the body cannot be read")
+	}
+	l = lines.Line{ID: id, Service: c.Summary.Backend, Address: c.Address, Zone: c.Summary.Zone, Generation: c.Summary.Generation,
+		Slots: c.Summary.Capacity, Seq: c.Observed.CallSeq}
+	switch c.Observed.Phase {
+	case "serving":
+	case "draining":
+		l.Phase = lines.Draining
+	default:
+		return l, errors.New("phase: neither serving nor draining")
+	}
+	if _, err := netip.ParseAddrPort(l.Address); err != nil && (l.Address != "" || l.Phase == lines.Serving) {
+		return l, errors.New("address: not an IP address with a port")
+	}
+	if l.Service == "" && l.Phase == lines.Serving {
+		return l, errors.New("backend: missing")
+	}
+	if l.Slots < 0 || l.Slots > mostSlots {
+		return l, errors.New("capacity: out of bounds")
+	}
+	if cold := c.Observed.ColdLeftMs / 1000; cold > 0 {
+		l.ColdTill = n.clock.Now() + min(cold, coldMost)
+	}
+	if !l.Proper() {
+		return l, errors.New("not a proper line")
+	}
+	return l, nil
+}
+
+// beat takes a call of a server. That it leaves is acknowledged once it is known for good; agents hear of it at once.
+func (n *Node) beat(r *http.Request, body []byte) answer {
+	l, err := n.line(r.PathValue("id"), body)
+	if err != nil {
+		return no(http.StatusBadRequest, err.Error())
+	}
+	l, sure := n.roll.told(l)
+	if l.Phase < lines.Draining || sure {
+		return done
+	}
+	return n.away(r, l)
+}
+
+// leave takes a server's word that it has ended.
+func (n *Node) leave(r *http.Request, _ []byte) answer {
+	id := r.PathValue("id")
+	if id == "" || len(id) > longID {
+		return no(http.StatusBadRequest, "no proper id")
+	}
+	l, sure := n.roll.left(id)
+	if sure {
+		return done
+	}
+	return n.away(r, l)
+}
+
+func (n *Node) away(r *http.Request, l lines.Line) answer {
+	ctx, cancel := context.WithTimeout(r.Context(), holdMost)
+	defer cancel()
+	if !n.settleLine(ctx, l) {
+		return no(http.StatusServiceUnavailable, "not on enough disks yet")
+	}
+	return done
+}
+
+// patch takes a change of the operator.
+func (n *Node) patch(_ *http.Request, body []byte) answer {
+	items, err := directory.ReadPatch(body)
+	if err == nil && len(items) > 0 {
+		err = n.desk.change(items, changeMost+perItem*time.Duration(max(0, len(items)-100)))
+	}
+	var refused *directory.Refusal
+	switch {
+	case err == nil:
+		return done
+	case errors.As(err, &refused):
+		return no(refused.Status, refused.Text)
+	}
+	return noMajority(err)
+}
+
+// readBack gives the newest configuration.
+func (n *Node) readBack(*http.Request, []byte) answer {
+	if err := n.desk.read(changeMost); err != nil {
+		return noMajority(err)
+	}
+	_, book := n.voter.whole()
+	return answer{http.StatusOK, book.Render()}
+}
+
+// view tells an operator what this node knows.
+func (n *Node) view(*http.Request, []byte) answer {
+	epoch, book := n.voter.whole()
+	voters, votes := n.voter.electorate()
+	promised, pending := n.voter.state()
+	services := map[string]map[string]int{}
+	for _, l := range n.store.Lines() {
+		if services[l.Service] == nil {
+			services[l.Service] = map[string]int{}
+		}
+		services[l.Service][l.Phase.String()]++
+	}
+	type source struct {
+		At     string  `json:"at"`
+		Heard  float64 `json:"heardSecondsAgo"`
+		Epoch  uint64  `json:"epoch"`
+		Ready  bool    `json:"ready"`
+		Quorum bool    `json:"quorum"`
+	}
+	var others []source
+	n.each(func(x *peer) {
+		s := x.client.State()
+		heard := -1.0
+		if s.Life != 0 {
+			heard = time.Since(s.Heard).Seconds()
+		}
+		others = append(others, source{x.addr, heard, s.Epoch, s.Ready, s.Quorum})
+	})
+	n.keeper.Lock()
+	keys := n.keeper.Len()
+	n.keeper.Unlock()
+	var why string
+	switch {
+	case n.ready():
+		why = "it has all"
+	case n.vault.Load() == nil:
+		why = "the disk has not been read yet"
+	case voters == nil:
+		why = "the disk was lost, and nobody has told who chooses"
+	case !n.quorum.Load():
+		why = "it does not hear more than half of the voters"
+	case !n.confirmed.Load():
+		why = "the configuration here is not known to be the newest"
+	case epoch == 0:
+		why = "there is no configuration yet"
+	default:
+		why = "servers have not had the time to call"
+	}
+	b, err := json.MarshalIndent(map[string]any{"node": n.settings.Node, "control": n.self, "life": lifeName(n.life), "upSeconds": n.up(),
+		"ready": n.ready(), "why": why, "epoch": epoch, "items": book.Len(), "promised": promised, "pendingEpoch": pending, "voters": voters,
+		"votes": votes, "sources": others, "members": n.members.Load(), "lines": services, "countersKept": keys}, "", "  ")
+	if err != nil {
+		return no(http.StatusInternalServerError, err.Error())
+	}
+	return answer{http.StatusOK, b}
+}
+
+func lifeName(life uint64) string { return strconv.FormatUint(life, 16) }
--- /dev/null
+++ b/internal/tandem/node.go
@@ -0,0 +1,677 @@
+// Package tandem is a control node: it takes the operator's changes of the configuration and has them chosen together with the other
+// control nodes, takes the beats of servers and judges who is silent, keeps on disk what it has acknowledged, feeds the agents
+// of the ingresses, and keeps the counters of tenants that fall to it.
+package tandem
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/go-kit/log"
+
+	"mulleinrouter/internal/office/feed"
+	"mulleinrouter/internal/office/lines"
+	"mulleinrouter/internal/office/premises"
+	"mulleinrouter/internal/office/tally"
+	"mulleinrouter/internal/office/trunk"
+	"mulleinrouter/internal/tandem/ballot"
+	"mulleinrouter/internal/tandem/vault"
+)
+
+const (
+	tick       = 250 * time.Millisecond
+	fresh      = 1500 * time.Millisecond // for which a node counts as heard
+	countFrom  = 1500 * time.Millisecond // after the start: by then all who hold a lease have renewed it here
+	orphaned   = 300 * time.Millisecond  // after which an accepted change is finished by whoever has it
+	orphanStep = 150 * time.Millisecond  // more for each voter before this one, so that they do not all do it
+	fetchMost  = 5 * time.Second
+	askEach    = 200 * time.Millisecond // while a vote is being recovered
+	mostPeers  = 9
+	mostInner  = 3400 // connections of agents and control nodes
+	lameFor    = time.Second
+)
+
+// Config is what a node is made of.
+type Config struct {
+	Settings *premises.Premises
+	Log      log.Logger
+	FS       vfs.FS                                                    // nil: the machine's own
+	Life     uint64                                                    // of this process, no other's; 0: drawn
+	Control  net.Listener                                              // nil: bound to the settings' address
+	Inner    net.Listener                                              // nil: bound to the settings' address
+	InnerOf  func(control string) string                               // nil: the settings'
+	Dial     func(ctx context.Context, inner string) (net.Conn, error) // nil: TCP
+}
+
+// Node is a control node. Of itself and others it speaks by control addresses.
+type Node struct {
+	settings *premises.Premises
+	config   Config
+	self     string
+	life     uint64
+	name     string // of this process, as no other has it: ballots bear it
+	log      log.Logger
+	started  time.Time
+
+	store  *feed.Store
+	clock  *feed.Clock
+	source *feed.Source
+	voter  *voter
+	desk   *desk
+	roll   *roll
+	leases leases
+	vault  atomic.Pointer[vault.Vault] // nil: the disk has not been read yet
+	big    chan struct{}               // room for large bodies
+
+	peers struct {
+		sync.Mutex
+		all []*peer
+	}
+	fetching sync.Mutex
+	keeper   struct {
+		sync.Mutex
+		*tally.Keeper
+	}
+
+	quorum    atomic.Bool // more than half of the voters are heard, this one with them
+	confirmed atomic.Bool // since then, the whole here was found to be as new as that of more than half
+	warm      atomic.Bool // another node that has all has told it
+	members   atomic.Int64
+	inner     atomic.Int64  // connections
+	ended     chan struct{} // closed at the end
+	lame      time.Duration // from the end of the control calls to that of all else
+}
+
+// peer is another control node.
+type peer struct {
+	addr   string
+	client *feed.Client
+}
+
+// New makes a node. It does nothing until Run.
+func New(c Config) (*Node, error) {
+	s := c.Settings
+	if err := s.Need("tandem"); err != nil {
+		return nil, err
+	}
+	if c.Life == 0 {
+		c.Life = rand.Uint64() | 1
+	}
+	if c.InnerOf == nil {
+		c.InnerOf = s.InnerOf
+	}
+	n := &Node{settings: s, config: c, self: s.Control, life: c.Life, log: log.With(c.Log, "part", "tandem"), started: time.Now(),
+		store: feed.NewStore(c.Life), big: make(chan struct{}, 2), ended: make(chan struct{}), lame: lameFor}
+	n.clock = feed.NewClock(n.up)
+	n.name = s.Node + "/" + lifeName(n.life)
+	n.voter = &voter{self: n.self, log: n.log, store: n.store, own: func(b ballot.Ballot) bool { return strings.HasPrefix(b.Node, n.name+"/") }}
+	n.desk = newDesk(n)
+	n.roll = newRoll(n.store, s.Beat, n.up)
+	n.keeper.Keeper = tally.New()
+	n.source = &feed.Source{Store: n.store, Clock: n.clock, Ready: n.ready, Quorum: n.quorum.Load, Learn: n.roll.learn, Renewed: n.leases.renewed,
+		Beats: n.roll.recent, Members: func() int { return int(n.members.Load()) }}
+	return n, nil
+}
+
+// up is the seconds since the node was made, by the steady clock.
+func (n *Node) up() float64 { return time.Since(n.started).Seconds() }
+
+// Run serves until the context ends, then finishes what is in hand and returns. It returns an error where it cannot serve.
+func (n *Node) Run(ctx context.Context) error {
+	defer close(n.ended)
+	control, inner, err := n.listen()
+	if err != nil {
+		return err
+	}
+	// What serves others goes on for a second after the calls of servers and operators have ended: agents find the other nodes meanwhile.
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var all sync.WaitGroup
+	defer all.Wait()
+	defer stop()
+	broken := make(chan error, 2)
+	n.meet(work, &all, n.settings.Seeds)
+	all.Go(func() { n.desk.run(work) })
+	all.Go(func() { n.watch(work) })
+	all.Go(func() { n.serveInner(work, inner) })
+	opened := make(chan struct{})
+	go func() { // the disk may hang: nobody waits for this to end
+		defer close(opened)
+		if err := n.open(work, &all); err != nil {
+			broken <- err
+		}
+	}()
+	server := n.server()
+	lame := n.lame
+	all.Go(func() {
+		if err := server.Serve(&bounded{Listener: control, most: mostControl}); !errors.Is(err, http.ErrServerClosed) {
+			broken <- errors.Wrap(err, "control calls")
+		}
+	})
+	n.log.Log("msg", "started", "node", n.settings.Node, "control", n.self, "life", n.life)
+	select {
+	case err = <-broken:
+		lame = 0
+	case <-ctx.Done():
+		n.log.Log("msg", "told to end")
+		server.SetKeepAlivesEnabled(false)
+	}
+	last, cancel := context.WithTimeout(context.Background(), lame)
+	defer cancel()
+	if server.Shutdown(last) != nil {
+		server.Close()
+	}
+	<-last.Done()
+	stop()
+	inner.Close()
+	select {
+	case <-opened:
+	case <-time.After(lame):
+	}
+	if v := n.vault.Load(); v != nil {
+		err = errors.CombineErrors(err, v.Close())
+	}
+	n.log.Log("msg", "ended")
+	return err
+}
+
+func (n *Node) listen() (control, inner net.Listener, err error) {
+	if control = n.config.Control; control == nil {
+		if control, err = bind(n.self); err != nil {
+			return nil, nil, err
+		}
+	}
+	if inner = n.config.Inner; inner == nil {
+		if inner, err = bind(n.settings.Inner()); err != nil {
+			control.Close()
+			return nil, nil, err
+		}
+	}
+	return control, inner, nil
+}
+
+// bind listens on an address, also where the process before has it for a moment longer.
+func bind(addr string) (net.Listener, error) {
+	for until := time.Now().Add(3 * time.Second); ; time.Sleep(100 * time.Millisecond) {
+		l, err := trunk.Listen(addr)
+		if err == nil || time.Now().After(until) {
+			return l, errors.Wrapf(err, "listen on %s", addr)
+		}
+	}
+}
+
+// open reads the disk, and recovers the vote where the disk is empty and should not be.
+func (n *Node) open(ctx context.Context, all *sync.WaitGroup) error {
+	v, s, err := vault.Open(n.config.FS, n.settings.DataPath, n.log)
+	if err != nil {
+		return errors.Wrap(err, "the disk")
+	}
+	if ctx.Err() != nil {
+		return v.Close()
+	}
+	n.roll.onDisk(s.Lines)
+	var bootstrap []string
+	if s.Blank && n.settings.Bootstrap {
+		bootstrap = n.settings.Seeds
+	}
+	n.voter.load(v, s, bootstrap)
+	n.vault.Store(v)
+	voters, votes := n.voter.electorate()
+	n.log.Log("msg", "disk read", "blank", s.Blank, "epoch", s.Acceptor.Epoch, "items", len(s.Items), "lines", len(s.Lines), "votes", votes)
+	if voters == nil {
+		n.recover(ctx, all)
+	} else {
+		n.meet(ctx, all, voters)
+	}
+	return nil
+}
+
+// recover finds the voters and, if this node is one of them, its vote (see ballot.Recovery).
+func (n *Node) recover(ctx context.Context, all *sync.WaitGroup) {
+	for ; ctx.Err() == nil; pause(ctx, askEach) {
+		voters, known := n.inquire()
+		if voters == nil {
+			continue
+		}
+		n.meet(ctx, all, voters)
+		if !slices.Contains(voters, n.self) {
+			n.voter.enter(voters, nil)
+			n.log.Log("msg", "relays", "voters", len(voters))
+			return
+		}
+		n.recoverVote(ctx, voters, known)
+		return
+	}
+}
+
+// inquire asks the other nodes who chooses, and takes what they know. Where all that this one was told of have empty disks too, it is
+// these.
+func (n *Node) inquire() (voters []string, known ballot.Ballot) {
+	epoch, _ := n.voter.whole()
+	var asking sync.WaitGroup
+	var mu sync.Mutex
+	var best uint64
+	answered, asked := 0, 0
+	n.each(func(x *peer) {
+		asked++
+		asking.Go(func() {
+			r := n.call(x.addr, fetchMost, &trunk.Frame{Since: &trunk.Since{Epoch: epoch, Blank: true}})
+			if r == nil || r.Items == nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answered++
+			i := r.Items
+			if i.Promised.Compare(known) > 0 {
+				known = i.Promised
+			}
+			if !i.Blank && len(i.Voters) > 0 && len(i.Voters) <= mostPeers && (voters == nil || i.Epoch > best) {
+				voters, best = i.Voters, i.Epoch
+			}
+			n.roll.learn(i.Lines)
+			n.roll.keep(n.vault.Load(), ids(i.Lines)...)
+			n.voter.take(i)
+		})
+	})
+	asking.Wait()
+	if voters == nil && answered == asked {
+		voters = n.settings.Seeds
+	}
+	return voters, known
+}
+
+func (n *Node) recoverVote(ctx context.Context, voters []string, known ballot.Ballot) {
+	r := ballot.NewRecovery(voters, n.self, n.name+"/0", known)
+	type answer struct {
+		from  string
+		asked ballot.Ballot
+		p     ballot.Promise
+	}
+	for ; ctx.Err() == nil; pause(ctx, askEach) {
+		answers := make(chan answer, len(voters))
+		var asked sync.WaitGroup
+		for _, to := range voters {
+			if b := r.Ballot(); to != n.self {
+				asked.Go(func() {
+					if f := n.call(to, 2*diskPatience, &trunk.Frame{Prepare: &trunk.Prepare{Ballot: b}}); f != nil && f.Promise != nil {
+						answers <- answer{to, b, f.Promise.Promise}
+					}
+				})
+			}
+		}
+		asked.Wait()
+		close(answers)
+		for a := range answers {
+			r.Heard(a.from, a.asked, a.p)
+		}
+		state, from, ok := r.Done()
+		if !ok {
+			continue
+		}
+		if from != "" {
+			n.fetch(from, state.Epoch)
+		}
+		if n.voter.enter(voters, &state) {
+			epoch, _ := n.voter.whole()
+			n.log.Log("msg", "vote recovered", "epoch", epoch, "from", from)
+			return
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// meet subscribes to control nodes.
+func (n *Node) meet(ctx context.Context, all *sync.WaitGroup, addrs []string) {
+	n.peers.Lock()
+	defer n.peers.Unlock()
+	if ctx.Err() != nil {
+		return
+	}
+	for _, a := range addrs {
+		inner := n.config.InnerOf(a)
+		if a == n.self || inner == "" || len(n.peers.all) >= mostPeers || slices.ContainsFunc(n.peers.all, func(x *peer) bool { return x.addr == a }) {
+			continue
+		}
+		x := &peer{addr: a, client: &feed.Client{Addr: inner, Node: n.settings.Node, Class: feed.Control, At: n.self, Life: n.life, Seed: n.life,
+			Store: n.store, Clock: n.clock, Most: trunk.MaxWhole, Ready: n.ready}}
+		x.client.Take = func(f *trunk.Feed) {
+			n.roll.learn(f.Lines)
+			n.roll.heard(f.Heard)
+			if f.Whole && f.Ready {
+				n.warm.Store(true)
+			}
+		}
+		x.client.OnLink = func(up bool, err error) {
+			if up {
+				n.log.Log("msg", "control node answers", "at", a)
+			} else {
+				n.log.Log("msg", "control node lost", "at", a, "err", err)
+			}
+		}
+		if n.config.Dial != nil {
+			x.client.Dial = func(ctx context.Context) (net.Conn, error) { return n.config.Dial(ctx, inner) }
+		}
+		n.peers.all = append(n.peers.all[:len(n.peers.all):len(n.peers.all)], x)
+		all.Go(func() { x.client.Run(ctx) })
+	}
+}
+
+// each goes through the other control nodes.
+func (n *Node) each(f func(*peer)) {
+	n.peers.Lock()
+	all := n.peers.all
+	n.peers.Unlock()
+	for _, x := range all {
+		f(x)
+	}
+}
+
+func (n *Node) peer(addr string) (found *peer) {
+	n.each(func(x *peer) {
+		if x.addr == addr {
+			found = x
+		}
+	})
+	return found
+}
+
+// call calls another control node; nil: no answer.
+func (n *Node) call(to string, most time.Duration, f *trunk.Frame) *trunk.Frame {
+	x := n.peer(to)
+	if x == nil {
+		return nil
+	}
+	r, err := x.client.Call(most, f)
+	if err != nil {
+		return nil
+	}
+	return r
+}
+
+// fetch gets what is chosen and not here from another control node, up to an epoch at least, and tells how far the whole here is then.
+func (n *Node) fetch(from string, want uint64) uint64 {
+	n.fetching.Lock()
+	defer n.fetching.Unlock()
+	epoch, _ := n.voter.whole()
+	if epoch >= want {
+		return epoch
+	}
+	if r := n.call(from, fetchMost, &trunk.Frame{Since: &trunk.Since{Epoch: epoch}}); r != nil && r.Items != nil {
+		return n.voter.take(r.Items)
+	}
+	return epoch
+}
+
+// watch does what time alone brings on.
+func (n *Node) watch(ctx context.Context) {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for round := 0; ; round++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		now := time.Now()
+		quorum, living := n.living()
+		if quorum != n.quorum.Load() {
+			n.log.Log("msg", "quorum", "heard", quorum)
+			n.confirmed.Store(false)
+			n.quorum.Store(quorum)
+		}
+		if due := n.roll.judge(quorum); len(due) > 0 {
+			n.log.Log("msg", "lines judged", "count", len(due), "first", due[0].ID, "phase", due[0].Phase)
+		}
+		members := int64(0)
+		if time.Since(n.started) >= countFrom {
+			members = int64(n.leases.count(now))
+		}
+		if old := n.members.Swap(members); old != members {
+			n.log.Log("msg", "ingresses", "count", members)
+		}
+		n.keeper.Lock()
+		n.keeper.Duty(n.up(), living, n.config.InnerOf(n.self), quorum)
+		n.keeper.Unlock()
+		if quorum && (!n.confirmed.Load() || n.orphan(now)) {
+			n.desk.settle()
+		}
+		n.sweep()
+		if round%4 == 0 {
+			n.roll.forget(n.vault.Load())
+		}
+	}
+}
+
+// living tells whether more than half of the voters are heard, this node with them, and names those by inner addresses.
+func (n *Node) living() (quorum bool, living []string) {
+	voters, _ := n.voter.electorate()
+	for _, v := range voters {
+		if x := n.peer(v); v == n.self || x != nil && x.client.State().Within(fresh) {
+			living = append(living, n.config.InnerOf(v))
+		}
+	}
+	return len(voters) > 0 && len(living) >= ballot.Majority(len(voters)), living
+}
+
+// orphan tells whether something that was accepted here waits for so long that its proposer must be gone.
+func (n *Node) orphan(now time.Time) bool {
+	voters, _ := n.voter.electorate()
+	rank := time.Duration(max(0, slices.Index(voters, n.self)))
+	return n.voter.unfinished(now) > orphaned+rank*orphanStep
+}
+
+// sweep fetches what others were found to have.
+func (n *Node) sweep() {
+	epoch, _ := n.voter.whole()
+	best, from := epoch, ""
+	n.each(func(x *peer) {
+		if s := x.client.State(); s.Within(fresh) && s.Epoch > best {
+			best, from = s.Epoch, x.addr
+		}
+	})
+	if from != "" && n.fetching.TryLock() {
+		n.fetching.Unlock()
+		go n.fetch(from, best)
+	}
+}
+
+// ready tells whether a newcomer may serve with what it gets here: the configuration is as new as any that was acknowledged when the
+// quorum was last found, and servers have had the time to call.
+func (n *Node) ready() bool {
+	return n.quorum.Load() && n.confirmed.Load() && n.store.Epoch() > 0 && (n.warm.Load() || n.up() > 1.2*n.settings.Beat)
+}
+
+// serveInner takes agents and control nodes.
+func (n *Node) serveInner(ctx context.Context, l net.Listener) {
+	for {
+		nc, err := l.Accept()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			pause(ctx, 20*time.Millisecond) // out of descriptors, for one
+			continue
+		}
+		if n.inner.Add(1) > mostInner {
+			n.inner.Add(-1)
+			nc.Close()
+			continue
+		}
+		go func() {
+			defer n.inner.Add(-1)
+			n.serve(ctx, nc)
+		}()
+	}
+}
+
+func (n *Node) serve(ctx context.Context, nc net.Conn) {
+	conn := trunk.NewConn(nc)
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	f, err := conn.Receive()
+	if err != nil || f.Hello == nil {
+		return
+	}
+	switch h := f.Hello; h.Class {
+	case feed.Control:
+		conn.Bound(trunk.MaxWhole)
+		n.source.Serve(conn, h, func(f *trunk.Frame) *trunk.Frame { return n.talk(f, h.At) })
+	case feed.Agent, feed.Proxy:
+		n.source.Serve(conn, h, n.count)
+	}
+}
+
+// count answers calls of the keeper.
+func (n *Node) count(f *trunk.Frame) *trunk.Frame {
+	a := f.Add
+	if a == nil {
+		return nil
+	}
+	n.keeper.Lock()
+	defer n.keeper.Unlock()
+	sum, holders, ok := n.keeper.Add(n.up(), a.Name, a.Cycle, a.Holder, a.Amount, a.Read, a.One, a.Serial, a.Keep)
+	return &trunk.Frame{Total: &trunk.Total{OK: ok, Sum: sum, Holders: holders}}
+}
+
+// talk answers another control node. An empty frame is an answer that says nothing.
+func (n *Node) talk(f *trunk.Frame, from string) *trunk.Frame {
+	answer := &trunk.Frame{}
+	switch {
+	case f.Add != nil:
+		return n.count(f)
+	case f.Call == 0:
+		return nil // none of these is sent without a number, and all of them may wait
+	case f.Prepare != nil:
+		if p := n.voter.prepare(f.Prepare); p != nil {
+			answer.Promise = &trunk.Promise{Promise: *p}
+		}
+	case f.Accept != nil:
+		p := f.Accept.Proposal
+		if a := n.voter.accept(p, func() { n.fetch(from, p.Epoch-1) }); a != nil {
+			answer.Accepted = &trunk.Accepted{Accepted: *a}
+		}
+	case f.Chosen != nil:
+		if p := f.Chosen.Proposal; !n.voter.learn(p.Ballot, p.Epoch) {
+			n.fetch(from, p.Epoch)
+		}
+	case f.Since != nil:
+		answer.Items = n.voter.since(f.Since, n.roll.kept)
+	case f.Hold != nil:
+		answer.Held = &trunk.Held{OK: n.hold(f.Hold.Lines)}
+	default:
+		return nil
+	}
+	return answer
+}
+
+const mostHeld = 4096
+
+// hold takes lines that leave, and returns true once they are on this node's disk.
+func (n *Node) hold(ls []lines.Line) bool {
+	disk := n.vault.Load()
+	if len(ls) > mostHeld || disk == nil {
+		return false
+	}
+	n.roll.learn(ls)
+	return synced(n.roll.keep(disk, ids(ls)...), 0)
+}
+
+func ids(ls []lines.Line) []string {
+	all := make([]string, len(ls))
+	for i, l := range ls {
+		all[i] = l.ID
+	}
+	return all
+}
+
+// settleLine has a line that leaves put on enough disks: those of two control nodes, or of the only one.
+func (n *Node) settleLine(ctx context.Context, l lines.Line) bool {
+	voters, _ := n.voter.electorate()
+	others := 0
+	results := make(chan bool, mostPeers+1)
+	n.each(func(x *peer) {
+		if slices.Contains(voters, x.addr) || voters == nil {
+			others++
+			go func() {
+				r, err := x.client.Call(holdMost, &trunk.Frame{Hold: &trunk.Hold{Lines: []lines.Line{l}}})
+				results <- err == nil && r.Held != nil && r.Held.OK
+			}()
+		}
+	})
+	if disk := n.vault.Load(); disk != nil {
+		others++
+		if t := n.roll.keep(disk, l.ID); t != nil {
+			go func() { results <- t.Wait(ctx) == nil }()
+		} else {
+			results <- true
+		}
+	}
+	need := min(2, len(voters))
+	if voters == nil {
+		need = 2
+	}
+	for got := 0; others > 0; others-- {
+		select {
+		case ok := <-results:
+			if ok {
+				got++
+			}
+		case <-ctx.Done():
+			return false
+		}
+		if got >= need {
+			n.roll.acknowledged(l)
+			return true
+		}
+	}
+	return false
+}
+
+// bounded is a listener that closes what comes beyond a number of open connections.
+type bounded struct {
+	net.Listener
+	most int64
+	open atomic.Int64
+}
+
+func (b *bounded) Accept() (net.Conn, error) {
+	for {
+		nc, err := b.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if b.open.Add(1) <= b.most {
+			return &counted{Conn: nc, of: b}, nil
+		}
+		b.open.Add(-1)
+		nc.Close()
+	}
+}
+
+type counted struct {
+	net.Conn
+	of   *bounded
+	once sync.Once
+}
+
+func (c *counted) Close() error {
+	c.once.Do(func() { c.of.open.Add(-1) })
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/tandem/propose.go
@@ -0,0 +1,399 @@
+package tandem
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"mulleinrouter/internal/office/directory"
+	"mulleinrouter/internal/office/trunk"
+	"mulleinrouter/internal/tandem/ballot"
+)
+
+const (
+	roundMost   = 300 * time.Millisecond // for the answers of a round
+	perMegabyte = 400 * time.Millisecond // more, for each megabyte that goes with it
+	perItem     = time.Millisecond       // that an operator waits longer, for each item of a long call
+	politeFor   = 40 * time.Millisecond  // that a round waits for another node's to end
+	runMost     = time.Second            // for a run that no operator waits for
+	mostBatch   = 128                    // calls that are proposed together
+	batchBytes  = 1 << 20                // of items in one proposal, about; the first call may be longer
+)
+
+// errNoMajority means that not enough of the control nodes answered in time. The change may or may not be taken later.
+var errNoMajority = errors.New("not enough control nodes answer")
+
+// change is a call of the operator on its way.
+type change struct {
+	items []directory.Item
+	limit time.Time
+	done  chan error // nil, *directory.Refusal or errNoMajority
+	gone  atomic.Bool
+}
+
+func (c *change) answer(err error) {
+	select {
+	case c.done <- err:
+	default:
+	}
+}
+
+// desk has the changes and the readings of this node led to their end, one run after the other, by one goroutine. Calls that wait
+// together are chosen together.
+type desk struct {
+	n      *Node
+	events chan func(*ballot.Proposer) ballot.Action // answers
+	wake   chan struct{}
+
+	mu      sync.Mutex
+	changes []*change
+	readers []chan error
+	finish  bool // something is to be finished, or the whole here to be confirmed
+
+	rnd      *rand.Rand
+	lives    int      // proposers there were: each draws ballots of its own
+	voters   []string // those of the proposer; its goroutine's
+	proposer *ballot.Proposer
+	within   []*change // in the proposal below
+	proposed ballot.Ballot
+	upon     uint64
+}
+
+func newDesk(n *Node) *desk {
+	return &desk{n: n, rnd: rand.New(rand.NewPCG(n.life, 1)), events: make(chan func(*ballot.Proposer) ballot.Action, 64), wake: make(chan struct{}, 1)}
+}
+
+// change has items chosen. It returns nil once they are, a *directory.Refusal, or errNoMajority.
+func (d *desk) change(items []directory.Item, most time.Duration) error {
+	c := &change{items: items, limit: time.Now().Add(most), done: make(chan error, 1)}
+	d.put(func() { d.changes = append(d.changes, c) })
+	t := time.NewTimer(most)
+	defer t.Stop()
+	select {
+	case err := <-c.done:
+		return err
+	case <-t.C:
+		c.gone.Store(true)
+		return errNoMajority
+	}
+}
+
+// read returns nil once the whole here is as new as any that was acknowledged before.
+func (d *desk) read(most time.Duration) error {
+	done := make(chan error, 1)
+	d.put(func() { d.readers = append(d.readers, done) })
+	t := time.NewTimer(most)
+	defer t.Stop()
+	select {
+	case err := <-done:
+		return err
+	case <-t.C:
+		return errNoMajority
+	}
+}
+
+// settle has a reading done that nobody waits for: it finishes what another left, and confirms the whole.
+func (d *desk) settle() { d.put(func() { d.finish = true }) }
+
+func (d *desk) put(add func()) {
+	d.mu.Lock()
+	add()
+	d.mu.Unlock()
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+// take takes calls that wait, those that nobody waits for any more left out.
+func (d *desk) take(most int) (calls []*change) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for len(d.changes) > 0 && len(calls) < most {
+		if c := d.changes[0]; !c.gone.Load() {
+			calls = append(calls, c)
+		}
+		d.changes[0] = nil
+		d.changes = d.changes[1:]
+	}
+	return calls
+}
+
+func (d *desk) takeReaders() (readers []chan error, some bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	readers, some = d.readers, d.finish || len(d.readers) > 0
+	d.readers, d.finish = nil, false
+	return readers, some
+}
+
+// run is the goroutine.
+func (d *desk) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-d.events:
+			if d.proposer != nil {
+				e(d.proposer) // late: nothing waits for it
+			}
+			continue
+		case <-d.wake:
+		}
+		for more := true; more && ctx.Err() == nil; {
+			more = false
+			if calls := d.take(mostBatch); len(calls) > 0 {
+				more = true
+				d.lead(ctx, calls)
+			}
+			if readers, some := d.takeReaders(); some {
+				more = true
+				err := d.lead(ctx, nil)
+				d.n.confirmed.Store(err == nil)
+				for _, r := range readers {
+					r <- err
+				}
+			}
+		}
+	}
+}
+
+// ready has a proposer for the voters as they are known now.
+func (d *desk) ready() bool {
+	voters, _ := d.n.voter.electorate()
+	if voters == nil {
+		return false
+	}
+	if d.proposer == nil || !slices.Equal(voters, d.voters) {
+		d.voters = voters
+		d.lives++
+		d.proposer = ballot.NewProposer(fmt.Sprintf("%s/%d", d.n.name, d.lives), voters, d.n.life)
+		promised, _ := d.n.voter.state()
+		d.proposer.Saw(promised)
+	}
+	return true
+}
+
+// lead leads one run to its end: changes, or a reading where there are none.
+func (d *desk) lead(ctx context.Context, calls []*change) error {
+	reading := len(calls) == 0
+	if !d.ready() {
+		for _, c := range calls {
+			c.answer(errNoMajority)
+		}
+		return errNoMajority
+	}
+	until := time.Now().Add(runMost)
+	if !reading {
+		until = latest(calls)
+	}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	d.within = nil
+	epoch, _ := d.n.voter.whole()
+	var todo ballot.Action
+	for a := d.proposer.Start(epoch, reading); ; {
+		var most time.Duration
+		switch todo = a; a.Do {
+		case ballot.Rest:
+			return nil
+		case ballot.Form:
+			a, calls = d.form(a, calls)
+			continue
+		case ballot.Apply:
+			a = d.apply(a)
+			continue
+		case ballot.Fetch:
+			most = d.fetch(a)
+		case ballot.Prepare, ballot.Read, ballot.Accept:
+			if a.Do == ballot.Prepare {
+				d.yield(ctx, timer)
+			}
+			most = d.ask(a)
+		case ballot.Pause:
+			most = a.Wait
+		}
+		timer.Reset(most)
+		for a = (ballot.Action{}); a.Do == ballot.None; {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case e := <-d.events:
+				a = e(d.proposer)
+				continue
+			case <-timer.C:
+			}
+			if !time.Now().Before(until) {
+				return errNoMajority // whoever waited has been answered
+			}
+			if todo.Do != ballot.Pause {
+				a = d.proposer.Timeout(todo.Try)
+				continue
+			}
+			if !reading {
+				// A new round begins, so whatever came meanwhile is judged upon a whole that is newer than it.
+				calls = append(calls, d.take(mostBatch-len(calls))...)
+				if calls = slices.DeleteFunc(calls, func(c *change) bool { return c.gone.Load() }); len(calls) > 0 {
+					until = latest(calls)
+				}
+			}
+			a = d.proposer.Woken(todo.Try)
+		}
+	}
+}
+
+// yield waits a little while another node is on its way: two that outbid one another all the time both come to nothing.
+func (d *desk) yield(ctx context.Context, timer *time.Timer) {
+	guest := d.n.voter.visitor()
+	if guest == nil {
+		return
+	}
+	timer.Reset(politeFor/2 + time.Duration(d.rnd.Int64N(int64(politeFor))))
+	select {
+	case <-guest:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func latest(calls []*change) (at time.Time) {
+	for _, c := range calls {
+		if c.limit.After(at) {
+			at = c.limit
+		}
+	}
+	return at
+}
+
+// form says what to propose, and answers the calls about which all is said. It returns those that are left.
+func (d *desk) form(a ballot.Action, calls []*change) (ballot.Action, []*change) {
+	epoch, book := d.n.voter.whole()
+	calls = slices.DeleteFunc(calls, func(c *change) bool { return c.gone.Load() })
+	all := make([][]directory.Item, len(calls))
+	for n, c := range calls {
+		all[n] = slices.Clone(c.items)
+		for i := range all[n] {
+			all[n][i].Epoch = epoch + 1
+		}
+	}
+	check := func(b *directory.Book, items []directory.Item) ([]directory.Item, *directory.Book, error) {
+		return b.Check(items)
+	}
+	items, verdicts := ballot.Compose(book, all, batchBytes, check)
+	if !a.Sure && slices.ContainsFunc(verdicts, func(v ballot.Verdict) bool { return v.Err != nil }) {
+		return d.proposer.Unsure(a.Try), calls
+	}
+	var left []*change
+	d.within = nil
+	for n, v := range verdicts {
+		switch c := calls[n]; {
+		case v.Err != nil:
+			c.answer(v.Err)
+		case v.Void:
+			c.answer(nil)
+		default:
+			left = append(left, c)
+			if v.Within {
+				d.within = append(d.within, c)
+			}
+		}
+	}
+	next := d.proposer.Formed(a.Try, epoch, items)
+	d.proposed, d.upon = next.Proposal.Ballot, epoch
+	return next, left
+}
+
+// apply takes in what was chosen, answers whom it is about, and tells the others.
+func (d *desk) apply(a ballot.Action) ballot.Action {
+	p := a.Proposal
+	epoch := d.n.voter.choose(p)
+	d.n.each(func(x *peer) {
+		go x.client.Call(roundMost, &trunk.Frame{Chosen: &trunk.Chosen{Proposal: ballot.Proposal{Ballot: p.Ballot, Epoch: p.Epoch}}})
+	})
+	if p.Ballot == d.proposed && p.Epoch == d.upon+1 {
+		for _, c := range d.within {
+			c.answer(nil)
+			c.gone.Store(true)
+		}
+	}
+	d.within = nil
+	d.n.log.Log("msg", "change chosen", "epoch", p.Epoch, "items", len(p.Items))
+	return d.proposer.Applied(a.Try, epoch)
+}
+
+// ask puts an action to the voters. It returns how long to wait for them.
+func (d *desk) ask(a ballot.Action) time.Duration {
+	most := roundMost
+	if a.Do == ballot.Accept {
+		most += spanOf(a.Proposal.Items)
+	}
+	for _, to := range a.To {
+		go func() {
+			var event func(*ballot.Proposer) ballot.Action
+			p, r := d.reach(to, a, most)
+			switch {
+			case p != nil:
+				event = func(x *ballot.Proposer) ballot.Action { return x.Promised(a.Try, to, *p) }
+			case r != nil:
+				event = func(x *ballot.Proposer) ballot.Action { return x.Accepted(a.Try, to, *r) }
+			default:
+				event = func(x *ballot.Proposer) ballot.Action { return x.Lost(a.Try, to) }
+			}
+			d.post(event)
+		}()
+	}
+	return most
+}
+
+// reach puts an action to one voter, which may be this node.
+func (d *desk) reach(to string, a ballot.Action, most time.Duration) (*ballot.Promise, *ballot.Accepted) {
+	q := &trunk.Prepare{Ballot: a.Ballot, Read: a.Do == ballot.Read}
+	if to == d.n.self {
+		if a.Do == ballot.Accept {
+			return nil, d.n.voter.accept(a.Proposal, nil)
+		}
+		return d.n.voter.prepare(q), nil
+	}
+	f := &trunk.Frame{Prepare: q}
+	if a.Do == ballot.Accept {
+		f = &trunk.Frame{Accept: &trunk.Accept{Proposal: a.Proposal}}
+	}
+	switch r := d.n.call(to, most, f); {
+	case r == nil:
+	case r.Promise != nil && a.Do != ballot.Accept:
+		return &r.Promise.Promise, nil
+	case r.Accepted != nil && a.Do == ballot.Accept:
+		return nil, &r.Accepted.Accepted
+	}
+	return nil, nil
+}
+
+func (d *desk) fetch(a ballot.Action) time.Duration {
+	go func() {
+		epoch := d.n.fetch(a.From, a.Epoch)
+		d.post(func(x *ballot.Proposer) ballot.Action { return x.Fetched(a.Try, epoch) })
+	}()
+	return 2 * roundMost
+}
+
+func (d *desk) post(e func(*ballot.Proposer) ballot.Action) {
+	select {
+	case d.events <- e:
+	case <-d.n.ended:
+	}
+}
+
+// spanOf is how much longer items take on their way, by their length.
+func spanOf(items []directory.Item) time.Duration {
+	bytes := 0
+	for _, i := range items {
+		bytes += 64 + len(i.Key.Name) + len(i.Body)
+	}
+	return perMegabyte * time.Duration(bytes>>10) >> 10
+}
--- /dev/null
+++ b/internal/tandem/roll.go
@@ -0,0 +1,211 @@
+package tandem
+
+import (
+	"sync"
+	"time"
+
+	"github.com/deckarep/golang-set/v2"
+
+	"mulleinrouter/internal/office/feed"
+	"mulleinrouter/internal/office/lines"
+	"mulleinrouter/internal/office/trunk"
+	"mulleinrouter/internal/tandem/vault"
+)
+
+// roll is what this node knows of the servers. The registry judges; the store, from which agents are fed, has of each line only what
+// differs, and only as the registry has it. Lines of servers that leave are kept on disk too. Times of the registry are of this process alone:
+// the common clock may be moved on.
+type roll struct {
+	store *feed.Store
+	now   func() lines.Seconds // since the process started
+
+	mu    sync.Mutex
+	known *lines.Registry
+	sure  map[string]lines.Phase // acknowledged, on enough disks
+	disk  mapset.Set[string]     // ids that are on this node's disk, or on the way there
+}
+
+func newRoll(store *feed.Store, beat float64, now func() float64) *roll {
+	return &roll{store: store, now: now, known: lines.New(beat), sure: map[string]lines.Phase{}, disk: mapset.NewThreadUnsafeSet[string]()}
+}
+
+// told takes a call of a server, and returns the line as it stands now and whether its leaving is acknowledged already.
+func (r *roll) told(l lines.Line) (merged lines.Line, sure bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if old, ok := r.known.Get(l.ID); ok && l.Address == "" {
+		l.Service, l.Address, l.Zone, l.Generation, l.Slots = old.Service, old.Address, old.Zone, old.Generation, old.Slots
+	}
+	merged, news := r.known.Beat(r.now(), l)
+	if news {
+		r.store.MergeLines([]lines.Line{merged})
+	}
+	at, kept := r.sure[l.ID]
+	return merged, kept && at >= l.Phase
+}
+
+// left takes a server's word that it has ended.
+func (r *roll) left(id string) (merged lines.Line, sure bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	merged, news := r.known.Leave(r.now(), id)
+	if news {
+		r.store.MergeLines([]lines.Line{merged})
+	}
+	return merged, r.sure[id] == lines.Gone
+}
+
+// acknowledged notes that a line is on enough disks.
+func (r *roll) acknowledged(l lines.Line) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.known.Get(l.ID); ok {
+		r.sure[l.ID] = max(r.sure[l.ID], l.Phase)
+	}
+}
+
+// keep puts those lines that leave, as they stand here, on their way to the disk. Nil: there is nothing to keep.
+func (r *roll) keep(to *vault.Vault, ids ...string) *vault.Ticket {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var b vault.Batch
+	for _, id := range ids {
+		if l, ok := r.known.Get(id); ok && l.Phase >= lines.Draining {
+			b.Lines = append(b.Lines, l)
+			r.disk.Add(id)
+		}
+	}
+	if b.Lines == nil {
+		return nil
+	}
+	return to.Put(b)
+}
+
+// learn takes lines that another process knows.
+func (r *roll) learn(ls []lines.Line) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.store.MergeLines(r.known.Learn(r.now(), ls))
+}
+
+// heard takes beats that another control node took.
+func (r *roll) heard(beats []trunk.Heard) {
+	if len(beats) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, h := range beats {
+		if l, news := r.known.Heard(r.now(), h.ID, h.Seq); news {
+			r.store.MergeLines([]lines.Line{l})
+		}
+	}
+}
+
+// onDisk takes the lines that were found on disk.
+func (r *roll) onDisk(ls []lines.Line) {
+	r.learn(ls)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, l := range ls {
+		r.disk.Add(l.ID)
+	}
+}
+
+// kept is the lines that are on disk, as they stand now.
+func (r *roll) kept() []lines.Line {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := make([]lines.Line, 0, r.disk.Cardinality())
+	for id := range r.disk.Iter() {
+		if l, ok := r.known.Get(id); ok && l.Phase >= lines.Draining {
+			all = append(all, l)
+		}
+	}
+	return all
+}
+
+// recent is the beats taken here, for other control nodes.
+func (r *roll) recent(since uint64) ([]trunk.Heard, uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.known.Recent(since, mostHeard)
+}
+
+// judge returns the lines that have become silent or gone by now.
+func (r *roll) judge(quorum bool) []lines.Line {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	r.known.Hears(now, quorum)
+	due := r.known.Due(now)
+	r.store.MergeLines(due)
+	return due
+}
+
+// forget drops the lines of long ago, here and from the disk.
+func (r *roll) forget(disk *vault.Vault) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	over := r.known.Over(r.now())
+	if len(over) == 0 {
+		return
+	}
+	r.store.ForgetLines(over)
+	var b vault.Batch
+	for _, id := range over {
+		delete(r.sure, id)
+		if r.disk.Contains(id) && disk != nil {
+			r.disk.Remove(id)
+			b.Forget = append(b.Forget, id)
+		}
+	}
+	if b.Forget != nil {
+		b.Lazy = true
+		disk.Put(b)
+	}
+}
+
+const mostHeard = 2048 // beats told at once
+
+// leases are those of the ingresses that subscribe here.
+type leases struct {
+	mu  sync.Mutex
+	all map[string]lease
+}
+
+type lease struct {
+	life  uint64
+	at    time.Time
+	ready bool
+}
+
+const (
+	leaseFor   = 2 * time.Second
+	mostLeases = 1 << 14
+)
+
+func (l *leases) renewed(node string, life uint64, ready bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.all == nil {
+		l.all = map[string]lease{}
+	}
+	if _, ok := l.all[node]; ok || len(l.all) < mostLeases && len(node) <= longName {
+		l.all[node] = lease{life, time.Now(), ready}
+	}
+}
+
+// count is how many ingresses take requests. It forgets those whose lease has run out.
+func (l *leases) count(now time.Time) (n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for node, x := range l.all {
+		if now.Sub(x.at) > leaseFor {
+			delete(l.all, node)
+		} else if x.ready {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/tandem/vault/vault.go
@@ -0,0 +1,371 @@
+// Package vault is the disk of a control node: what it has promised and accepted, the chosen configuration, and the lines of
+// servers that were acknowledged as leaving or gone. One goroutine writes, and all that waits for it goes to the disk in one sync.
+package vault
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/cockroachdb/pebble/v2"
+	"github.com/cockroachdb/pebble/v2/sstable"
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-kit/log"
+
+	"mulleinrouter/internal/office/directory"
+	"mulleinrouter/internal/office/lines"
+	"mulleinrouter/internal/tandem/ballot"
+)
+
+// version of what is on disk. A folder of a later one is not opened.
+const version = 1
+
+// Keys: one letter, then the name of what there are many of.
+var (
+	keyVersion  = []byte("v")
+	keyVoters   = []byte("m")
+	keyAcceptor = []byte("a")
+	keyPending  = []byte("p")
+)
+
+const (
+	keyItem = 'i' // then the kind and the name
+	keyLine = 'l' // then the id
+)
+
+// Sizes: small, because all that is kept is in memory too and is read at the start alone.
+const (
+	memTable  = 512 << 10 // bytes
+	cacheSize = 1 << 20   // bytes
+	openFiles = 40
+	closeWait = 2 * time.Second
+	tryEvery  = 100 * time.Millisecond // after the disk refused
+)
+
+// reading takes arrays as long as the bytes that a proposal may have on its way here allow.
+var reading = func() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: 1 << 21}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
+// ErrClosed is that of what was not on disk when the vault was closed.
+var ErrClosed = errors.New("the vault is closed")
+
+// State is what was found on disk.
+type State struct {
+	Blank    bool     // no vote was ever kept here: nobody may count on this node until it has one again
+	Voters   []string // addresses of the control nodes that choose
+	Acceptor ballot.Acceptor
+	Items    []directory.Item // in order of their keys
+	Lines    []lines.Line
+}
+
+// Batch is what is saved at once: whole or not at all. What is nil stays as it was.
+type Batch struct {
+	Voters   []string
+	Acceptor *ballot.Acceptor
+	Items    []directory.Item // each in the place of another of its key
+	Lines    []lines.Line
+	Forget   []string // ids of lines
+	Lazy     bool     // it may go without a sync: whatever is saved after it is never on disk without it
+}
+
+// Vault is an open folder.
+type Vault struct {
+	db  *pebble.DB
+	fs  *steady
+	log log.Logger
+
+	mu     sync.Mutex
+	open   *Ticket   // what the next commit takes
+	began  time.Time // of the commit under way; zero: none is
+	closed bool
+	wake   chan struct{}
+	done   chan struct{}
+
+	pending *ballot.Proposal // as it is on disk; the writing goroutine's
+}
+
+// Ticket is a commit that is yet to come.
+type Ticket struct {
+	batches []Batch
+	sync    bool
+	done    chan struct{}
+	err     error
+}
+
+// Wait waits until what the ticket was given for is on disk, synced. When the context ends first the write may still happen.
+func (t *Ticket) Wait(ctx context.Context) error {
+	select {
+	case <-t.done:
+		return t.err
+	default:
+	}
+	select {
+	case <-t.done:
+		return t.err
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "the disk is late")
+	}
+}
+
+// Done is closed when the commit has ended; Wait does not wait then.
+func (t *Ticket) Done() <-chan struct{} { return t.done }
+
+// Open opens a folder, or makes it. It waits as long as the disk does. No fs: the machine's own.
+func Open(fs vfs.FS, dir string, logger log.Logger) (*Vault, State, error) {
+	return open(fs, dir, logger, tryEvery)
+}
+
+func open(fs vfs.FS, dir string, logger log.Logger, every time.Duration) (*Vault, State, error) {
+	if fs == nil {
+		fs = vfs.Default
+	}
+	v := &Vault{log: logger, open: newTicket(), wake: make(chan struct{}, 1), done: make(chan struct{})}
+	v.fs = &steady{FS: fs, every: every, stop: make(chan struct{}), trouble: v.trouble}
+	cache := pebble.NewCache(cacheSize)
+	defer cache.Unref()
+	o := &pebble.Options{
+		FS:                          v.fs,
+		Cache:                       cache,
+		FormatMajorVersion:          pebble.FormatValueSeparation,
+		Logger:                      quiet{logger},
+		MemTableSize:                memTable,
+		MemTableStopWritesThreshold: 4,
+		MaxOpenFiles:                openFiles,
+		MaxManifestFileSize:         1 << 20,
+		L0CompactionThreshold:       4,
+		L0CompactionFileThreshold:   8,
+		LBaseMaxBytes:               8 << 20,
+		CompactionConcurrencyRange:  func() (int, int) { return 1, 1 },
+		DisableTableStats:           true,
+	}
+	for i := range o.Levels {
+		o.Levels[i].Compression = func() *sstable.CompressionProfile { return sstable.NoCompression }
+	}
+	for i := range o.TargetFileSizes {
+		o.TargetFileSizes[i] = 2 << 20
+	}
+	// The usual scheduler wakes ten times a second; with one compaction at a time the end of each is occasion enough.
+	o.Experimental.CompactionScheduler = pebble.NewConcurrencyLimitSchedulerWithNoPeriodicGrantingForTest()
+	db, err := pebble.Open(dir, o)
+	if err != nil {
+		return nil, State{}, errors.Wrapf(err, "open %s", dir)
+	}
+	v.db = db
+	s, err := v.read()
+	if err != nil {
+		return nil, State{}, errors.CombineErrors(errors.Wrapf(err, "read %s", dir), db.Close())
+	}
+	v.pending = s.Acceptor.Pending
+	go v.write()
+	return v, s, nil
+}
+
+func newTicket() *Ticket { return &Ticket{done: make(chan struct{})} }
+
+func (v *Vault) read() (s State, err error) {
+	it, err := v.db.NewIter(nil)
+	if err != nil {
+		return s, err
+	}
+	defer func() { err = errors.CombineErrors(err, it.Close()) }()
+	s.Blank = true
+	for it.First(); it.Valid(); it.Next() {
+		k, b := it.Key(), it.Value()
+		var err error
+		switch k[0] {
+		case keyVersion[0]:
+			var n int
+			if err = reading.Unmarshal(b, &n); err == nil && n > version {
+				err = errors.Newf("the folder is of version %d, later than %d", n, version)
+			}
+		case keyVoters[0]:
+			s.Blank = false
+			err = reading.Unmarshal(b, &s.Voters)
+		case keyAcceptor[0]:
+			err = reading.Unmarshal(b, &s.Acceptor)
+		case keyPending[0]:
+			s.Acceptor.Pending = new(ballot.Proposal)
+			err = reading.Unmarshal(b, s.Acceptor.Pending)
+		case keyItem:
+			var i directory.Item
+			err = reading.Unmarshal(b, &i)
+			s.Items = append(s.Items, i)
+		case keyLine:
+			var l lines.Line
+			err = reading.Unmarshal(b, &l)
+			s.Lines = append(s.Lines, l)
+		default:
+			err = errors.New("unknown key")
+		}
+		if err != nil {
+			return s, errors.Wrapf(err, "key %q", k)
+		}
+	}
+	return s, it.Error()
+}
+
+// Put has a batch written behind all that was put before, and gives a ticket for its sync. It does not wait.
+func (v *Vault) Put(b Batch) *Ticket {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	t := v.open
+	if v.closed {
+		return t
+	}
+	if b.Acceptor != nil {
+		a := *b.Acceptor
+		b.Acceptor = &a
+	}
+	t.batches = append(t.batches, b)
+	t.sync = t.sync || !b.Lazy
+	select {
+	case v.wake <- struct{}{}:
+	default:
+	}
+	return t
+}
+
+// Save is Put and Wait.
+func (v *Vault) Save(ctx context.Context, b Batch) error { return v.Put(b).Wait(ctx) }
+
+// Late tells whether the disk has been at one commit for longer than that.
+func (v *Vault) Late(than time.Duration) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return !v.began.IsZero() && time.Since(v.began) > than
+}
+
+// write is the goroutine that writes.
+func (v *Vault) write() {
+	defer close(v.done)
+	for {
+		v.mu.Lock()
+		t, closed := v.open, v.closed
+		some := len(t.batches) > 0
+		v.began = time.Time{}
+		if some {
+			v.open, v.began = newTicket(), time.Now()
+		}
+		v.mu.Unlock()
+		if !some {
+			if closed {
+				t.err = ErrClosed
+				close(t.done)
+				return
+			}
+			<-v.wake
+			continue
+		}
+		if t.err = v.commit(t); t.err != nil {
+			v.log.Log("msg", "a batch was not saved", "err", t.err)
+		}
+		t.batches = nil
+		close(t.done)
+	}
+}
+
+func (v *Vault) commit(t *Ticket) error {
+	to := v.db.NewBatch()
+	set := func(key []byte, value any) error {
+		b, err := cbor.Marshal(value)
+		if err != nil {
+			return err
+		}
+		return to.Set(key, b, nil)
+	}
+	for _, b := range t.batches {
+		if err := v.add(to, set, b); err != nil {
+			return errors.CombineErrors(err, to.Close())
+		}
+	}
+	if err := v.db.Apply(to, &pebble.WriteOptions{Sync: t.sync}); err != nil {
+		return err
+	}
+	return to.Close()
+}
+
+func (v *Vault) add(to *pebble.Batch, set func([]byte, any) error, b Batch) error {
+	var errs error
+	note := func(err error) { errs = errors.CombineErrors(errs, err) }
+	if b.Voters != nil {
+		note(set(keyVersion, version))
+		note(set(keyVoters, b.Voters))
+	}
+	if a := b.Acceptor; a != nil {
+		note(set(keyAcceptor, a))
+		// A first configuration may be megabytes: it is not written again with each promise.
+		switch {
+		case a.Pending == nil && v.pending != nil:
+			note(to.Delete(keyPending, nil))
+		case a.Pending != v.pending:
+			note(set(keyPending, a.Pending))
+		}
+		v.pending = a.Pending
+	}
+	for _, i := range b.Items {
+		note(set(itemKey(i.Key), i))
+	}
+	for _, l := range b.Lines {
+		note(set(lineKey(l.ID), l))
+	}
+	for _, id := range b.Forget {
+		note(to.Delete(lineKey(id), nil))
+	}
+	return errs
+}
+
+func itemKey(k directory.Key) []byte { return append([]byte{keyItem, byte(k.Kind)}, k.Name...) }
+func lineKey(id string) []byte       { return append([]byte{keyLine}, id...) }
+
+// Close ends the vault, for which it waits two seconds at most. What was put before is written if the disk lets it be.
+func (v *Vault) Close() error {
+	v.mu.Lock()
+	if v.closed {
+		v.mu.Unlock()
+		return nil
+	}
+	v.closed = true
+	v.mu.Unlock()
+	close(v.wake)
+	closed := make(chan error, 1)
+	go func() {
+		<-v.done
+		closed <- v.db.Close()
+	}()
+	t := time.NewTimer(closeWait)
+	defer t.Stop()
+	select {
+	case err := <-closed:
+		return err
+	case <-t.C:
+		close(v.fs.stop)
+		return errors.New("the disk did not let the vault close")
+	}
+}
+
+func (v *Vault) trouble(err error) {
+	if err != nil {
+		v.log.Log("msg", "the disk refuses", "err", err)
+	} else {
+		v.log.Log("msg", "the disk works again")
+	}
+}
+
+// quiet passes on what must be known. What is fatal to the store, after all that steady bears, is a folder that is not as
+// it was written: a broken invariant.
+type quiet struct{ log.Logger }
+
+func (quiet) Infof(string, ...any) {}
+
+func (q quiet) Errorf(format string, args ...any) {
+	q.Log("msg", "store", "err", errors.Newf(format, args...))
+}
+
+func (q quiet) Fatalf(format string, args ...any) { panic(errors.Newf(format, args...)) }
--- /dev/null
+++ b/internal/tandem/vault/vault_test.go
@@ -0,0 +1,189 @@
+package vault
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"mulleinrouter/internal/office/directory"
+	"mulleinrouter/internal/office/lines"
+	"mulleinrouter/internal/tandem/ballot"
+)
+
+// Whatever was acknowledged is there after a loss of power, and what was put later is there as a run of whole batches from
+// the front.
+func TestLossOfPower(t *testing.T) {
+	for seed := range uint64(6) {
+		rnd := rand.New(rand.NewPCG(seed, 1))
+		fs := vfs.NewCrashableMem()
+		want := []Batch{}
+		for range 4 {
+			is := is.New(t)
+			v, s, err := Open(fs, "d", log.NewNopLogger())
+			is.NoErr(err)
+			is.Equal(s.Blank, len(want) == 0)
+			n := check(is, s, want)
+			want = want[:n]
+			sure := n
+			for range 1 + rnd.IntN(60) {
+				b := batch(rnd, len(want)+1)
+				want = append(want, b)
+				if ticket := v.Put(b); !b.Lazy && rnd.IntN(3) == 0 {
+					is.NoErr(ticket.Wait(t.Context()))
+					sure = len(want)
+				}
+			}
+			crash := fs.CrashClone(vfs.CrashCloneCfg{UnsyncedDataPercent: rnd.IntN(2) * 50, RNG: rnd})
+			is.NoErr(v.Close())
+			fs = crash
+			v, s, err = Open(fs, "d", log.NewNopLogger())
+			is.NoErr(err)
+			n = check(is, s, want)
+			if n < sure {
+				t.Fatalf("seed %d: %d batches of %d that were acknowledged", seed, n, sure)
+			}
+			want = want[:n]
+			is.NoErr(v.Close())
+		}
+	}
+}
+
+func batch(rnd *rand.Rand, n int) Batch {
+	a := &ballot.Acceptor{Promised: ballot.Ballot{Round: uint64(n), Node: "a"}, Epoch: uint64(n)}
+	if n%2 == 0 {
+		a.Pending = &ballot.Proposal{Epoch: uint64(n) + 1, Items: []directory.Item{{Version: uint64(n)}}}
+	}
+	k := rnd.IntN(9)
+	b := Batch{Acceptor: a, Lazy: rnd.IntN(2) == 0, Items: []directory.Item{{Key: directory.Key{Kind: directory.Routes, Name: fmt.Sprint(k)}, Version: uint64(n), Body: make([]byte, rnd.IntN(20000))}}}
+	if n == 1 || rnd.IntN(5) == 0 {
+		b.Voters = []string{"x", fmt.Sprint(n)}
+	}
+	if rnd.IntN(2) == 0 {
+		b.Lines = []lines.Line{{ID: fmt.Sprint(k), Seq: uint64(n)}}
+	} else {
+		b.Forget = []string{fmt.Sprint(k)}
+	}
+	return b
+}
+
+// check finds how many of the batches make the state.
+func check(is *is.I, s State, want []Batch) int {
+	is.Helper()
+	n := int(s.Acceptor.Epoch)
+	is.True(n <= len(want))
+	items, kept, voters := map[string]uint64{}, map[string]uint64{}, []string(nil)
+	for _, b := range want[:n] {
+		for _, i := range b.Items {
+			items[i.Key.Name] = i.Version
+		}
+		for _, l := range b.Lines {
+			kept[l.ID] = l.Seq
+		}
+		for _, id := range b.Forget {
+			delete(kept, id)
+		}
+		if b.Voters != nil {
+			voters = b.Voters
+		}
+	}
+	is.Equal(len(s.Items), len(items))
+	for _, i := range s.Items {
+		is.Equal(items[i.Key.Name], i.Version)
+	}
+	is.Equal(len(s.Lines), len(kept))
+	for _, l := range s.Lines {
+		is.Equal(kept[l.ID], l.Seq)
+	}
+	is.Equal(s.Voters, voters)
+	if n > 0 {
+		is.Equal(s.Acceptor.Pending, want[n-1].Acceptor.Pending)
+	}
+	return n
+}
+
+// refusing refuses writes and syncs while it is told to.
+type refusing struct {
+	vfs.FS
+	now     atomic.Bool
+	refused chan struct{}
+}
+
+type refusingFile struct {
+	vfs.File
+	fs *refusing
+}
+
+func (r *refusing) Create(name string, c vfs.DiskWriteCategory) (vfs.File, error) {
+	f, err := r.FS.Create(name, c)
+	return refusingFile{f, r}, err
+}
+
+func (f refusingFile) check() error {
+	if !f.fs.now.Load() {
+		return nil
+	}
+	select {
+	case f.fs.refused <- struct{}{}:
+	default:
+	}
+	return syscall.EIO
+}
+
+func (f refusingFile) Sync() error {
+	if err := f.check(); err != nil {
+		return err
+	}
+	return f.File.Sync()
+}
+
+func (f refusingFile) SyncData() error { return f.Sync() }
+
+func (f refusingFile) Write(b []byte) (int, error) {
+	if err := f.check(); err != nil && f.fs.now.Load() {
+		n, _ := f.File.Write(b[:len(b)/2])
+		return n, err
+	}
+	return f.File.Write(b)
+}
+
+// A disk that refuses fails those who wait, and takes all of it once it works again.
+func TestRefusingDisk(t *testing.T) {
+	is := is.New(t)
+	mem := vfs.NewCrashableMem()
+	fs := &refusing{FS: mem, refused: make(chan struct{}, 1)}
+	v, _, err := open(fs, "d", log.NewNopLogger(), time.Microsecond)
+	is.NoErr(err)
+	rnd := rand.New(rand.NewPCG(1, 1))
+	all := []Batch{batch(rnd, 1)}
+	is.NoErr(v.Save(t.Context(), all[0]))
+	fs.now.Store(true)
+	late, cancel := context.WithCancel(t.Context())
+	for n := 2; n < 6; n++ {
+		all = append(all, batch(rnd, n))
+	}
+	all[len(all)-1].Lazy = false
+	var last *Ticket
+	for _, b := range all[1:] {
+		last = v.Put(b)
+	}
+	<-fs.refused
+	cancel()
+	is.True(last.Wait(late) != nil)
+	fs.now.Store(false)
+	is.NoErr(last.Wait(t.Context()))
+	crash := mem.CrashClone(vfs.CrashCloneCfg{})
+	is.NoErr(v.Close())
+	is.True(v.Save(t.Context(), all[0]) != nil)
+	v, s, err := Open(crash, "d", log.NewNopLogger())
+	is.NoErr(err)
+	is.Equal(check(is, s, all), len(all))
+	is.NoErr(v.Close())
+}
--- /dev/null
+++ b/internal/tandem/voter.go
@@ -0,0 +1,308 @@
+package tandem
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"mulleinrouter/internal/office/directory"
+	"mulleinrouter/internal/office/feed"
+	"mulleinrouter/internal/office/lines"
+	"mulleinrouter/internal/office/trunk"
+	"mulleinrouter/internal/tandem/ballot"
+	"mulleinrouter/internal/tandem/vault"
+)
+
+const (
+	diskPatience = 500 * time.Millisecond // that an answer waits for the disk: the others are enough
+	longName     = 4096                   // bytes of an item's name
+	mostRecent   = 256                    // changes that are kept to be told to who lacks them
+)
+
+// voter is this node's copy of the configuration and, if it is one of those that choose, its vote. Items reach the store under its
+// lock alone, so that the store's book is at any time the whole of the acceptor's epoch.
+type voter struct {
+	self  string // own control address
+	log   log.Logger
+	store *feed.Store
+	own   func(ballot.Ballot) bool // a ballot is of this process
+
+	mu        sync.Mutex
+	vault     *vault.Vault // nil: the disk has not been read yet
+	a         ballot.Acceptor
+	votes     bool
+	voters    []string      // nil: not known
+	ticket    *vault.Ticket // of the last change of a; nil: as it was found
+	pendingAt time.Time     // since when a.Pending waits
+	guest     chan struct{} // closed once the change of another node that is under way here is chosen; nil: none is
+	recent    []chosen      // up to a.Epoch without a gap
+}
+
+// chosen is a change with the epoch it made.
+type chosen struct {
+	epoch uint64
+	items []directory.Item
+}
+
+// load takes what was on disk. Voters: those to start with, where nothing was and the whole system starts; nil: a lost disk, whose
+// vote is to be recovered.
+func (v *voter) load(vt *vault.Vault, s vault.State, bootstrap []string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.vault, v.a, v.voters = vt, s.Acceptor, s.Voters
+	v.store.MergeItems(s.Items)
+	v.store.SetEpoch(v.a.Epoch)
+	v.pendingAt = time.Now()
+	if s.Blank && bootstrap != nil {
+		v.voters = bootstrap
+		v.ticket = vt.Put(vault.Batch{Voters: bootstrap, Acceptor: &v.a})
+	}
+	v.votes = slices.Contains(v.voters, v.self)
+}
+
+// keep puts the acceptor on its way to the disk.
+func (v *voter) keep() {
+	v.pendingAt = time.Now()
+	v.ticket = v.vault.Put(vault.Batch{Acceptor: &v.a})
+}
+
+// able tells whether the disk has been read and is not known to hang.
+func (v *voter) able() bool { return v.vault != nil && !v.vault.Late(diskPatience) }
+
+// synced waits until what a ticket stands for is on disk, for a while and so much longer.
+func synced(t *vault.Ticket, longer time.Duration) bool {
+	if t == nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), diskPatience+longer)
+	defer cancel()
+	return t.Wait(ctx) == nil
+}
+
+// visited notes that a node is on its way to have a change chosen.
+func (v *voter) visited(b ballot.Ballot) {
+	if v.own != nil && v.own(b) {
+		return
+	}
+	if v.guest == nil {
+		v.guest = make(chan struct{})
+	}
+}
+
+// visitor is closed once no other node is known to be on its way to have a change chosen.
+func (v *voter) visitor() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.guest
+}
+
+// prepare answers a ballot; nil: there is no answer. A voter that has no vote yet abstains (see ballot.Promise.Abstains).
+func (v *voter) prepare(q *trunk.Prepare) *ballot.Promise {
+	v.mu.Lock()
+	if q.Read {
+		defer v.mu.Unlock()
+		if !v.votes {
+			return nil
+		}
+		p := v.a.Read()
+		return &p
+	}
+	if !v.able() || !v.votes {
+		defer v.mu.Unlock()
+		if v.vault == nil || v.votes {
+			return nil
+		}
+		return &ballot.Promise{}
+	}
+	p, changed := v.a.Prepare(q.Ballot)
+	if changed {
+		v.keep()
+		v.visited(q.Ballot)
+	}
+	t := v.ticket
+	v.mu.Unlock()
+	if p.OK && !synced(t, 0) {
+		return nil
+	}
+	return &p
+}
+
+// accept answers a proposal; nil: there is no answer. Where the whole before it is missing here, fetch gets it from who proposes.
+func (v *voter) accept(p ballot.Proposal, fetch func()) *ballot.Accepted {
+	if !proper(p.Items) {
+		return nil
+	}
+	for try := 0; ; try++ {
+		v.mu.Lock()
+		if !v.able() || !v.votes {
+			v.mu.Unlock()
+			return nil
+		}
+		// Who goes on under the same ballot had the change before it chosen; word of that may come after.
+		if f := v.a.Pending; f != nil && f.Ballot == p.Ballot && f.Epoch+1 == p.Epoch {
+			v.apply(f.Epoch, f.Items)
+		}
+		r, changed := v.a.Accept(p)
+		if changed {
+			v.keep()
+			v.visited(p.Ballot)
+		}
+		t := v.ticket
+		v.mu.Unlock()
+		if r.Behind && try == 0 && fetch != nil {
+			fetch()
+			continue
+		}
+		if r.OK && !synced(t, spanOf(p.Items)) {
+			return nil
+		}
+		return &r
+	}
+}
+
+// choose takes in a change that is chosen, and returns how far the whole here is. It has no effect unless the whole before it is here.
+func (v *voter) choose(p ballot.Proposal) uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if p.Epoch == v.a.Epoch+1 {
+		v.apply(p.Epoch, p.Items)
+	}
+	return v.a.Epoch
+}
+
+// learn takes word that what was accepted under a ballot is chosen. It tells whether the whole is here now.
+func (v *voter) learn(b ballot.Ballot, epoch uint64) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if f := v.a.Pending; f != nil && f.Ballot == b && f.Epoch == epoch {
+		v.apply(epoch, f.Items)
+	}
+	return v.a.Epoch >= epoch
+}
+
+// apply makes a change the newest of the whole.
+func (v *voter) apply(epoch uint64, items []directory.Item) {
+	if v.guest != nil {
+		close(v.guest)
+		v.guest = nil
+	}
+	behind := epoch - v.a.Epoch
+	changed := v.store.MergeItems(items)
+	v.a.Learn(epoch)
+	v.store.SetEpoch(epoch)
+	v.vault.Put(vault.Batch{Acceptor: &v.a, Items: changed, Lazy: true}) // the accepted proposal is on more than half of the disks
+	if behind > 1 {
+		v.recent = nil
+	}
+	if len(v.recent) == mostRecent {
+		v.recent = slices.Clone(v.recent[mostRecent/2:]) // readers have the old one
+	}
+	v.recent = append(v.recent, chosen{epoch, changed})
+}
+
+// take takes the answer to Since; it tells how far the whole is then. The answer holds all that was chosen behind an epoch that was
+// this node's when it asked.
+func (v *voter) take(i *trunk.Items) uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if i.Epoch > v.a.Epoch && v.vault != nil && proper(i.Items) {
+		v.apply(i.Epoch, i.Items)
+	}
+	return v.a.Epoch
+}
+
+// since answers who lacks what was chosen behind an epoch; nil: nothing is known here yet. Lines are those kept on disk.
+func (v *voter) since(q *trunk.Since, kept func() []lines.Line) *trunk.Items {
+	v.mu.Lock()
+	if v.vault == nil {
+		v.mu.Unlock()
+		return nil
+	}
+	i := &trunk.Items{Epoch: v.a.Epoch, Promised: v.a.Promised, Blank: v.voters == nil, Voters: v.voters}
+	book, recent := v.store.Book(), v.recent
+	v.mu.Unlock()
+	if i.Epoch > q.Epoch {
+		if len(recent) > 0 && recent[0].epoch <= q.Epoch+1 {
+			for _, c := range recent {
+				if c.epoch > q.Epoch {
+					i.Items = append(i.Items, c.items...)
+				}
+			}
+		} else {
+			for it := range book.All() {
+				if it.Epoch > q.Epoch {
+					i.Items = append(i.Items, it)
+				}
+			}
+		}
+	}
+	if q.Blank {
+		i.Lines = kept()
+	}
+	return i
+}
+
+// proper tells whether items that another process told of can be such at all.
+func proper(items []directory.Item) bool {
+	return !slices.ContainsFunc(items, func(i directory.Item) bool {
+		return i.Key.Kind < directory.Routes || i.Key.Kind > directory.Limits || len(i.Key.Name) > longName
+	})
+}
+
+// whole is the configuration here with its epoch.
+func (v *voter) whole() (uint64, *directory.Book) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.a.Epoch, v.store.Book()
+}
+
+// state is the highest ballot that this voter promised, and the epoch of what it accepted and does not know to be chosen; 0: nothing.
+func (v *voter) state() (promised ballot.Ballot, pending uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.a.Pending != nil {
+		pending = v.a.Pending.Epoch
+	}
+	return v.a.Promised, pending
+}
+
+// unfinished tells how long something has been accepted here and not known to be chosen; 0: nothing is.
+func (v *voter) unfinished(now time.Time) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.a.Pending == nil || !v.votes {
+		return 0
+	}
+	return now.Sub(v.pendingAt)
+}
+
+// enter gives the node its vote, with what its recovery found, and the voters; without a state it only notes the voters. False: the whole here
+// is behind that state.
+func (v *voter) enter(voters []string, state *ballot.Acceptor) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	b := vault.Batch{Voters: voters, Acceptor: &v.a}
+	if state != nil {
+		if v.a.Epoch < state.Epoch {
+			return false
+		}
+		epoch := v.a.Epoch
+		v.a = *state
+		v.a.Learn(epoch)
+		v.votes = true
+	}
+	v.voters = voters
+	v.pendingAt = time.Now()
+	v.ticket = v.vault.Put(b)
+	return true
+}
+
+// electorate is who chooses, and whether this node has a vote; nil: not known.
+func (v *voter) electorate() ([]string, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.voters, v.votes
+}
--- /dev/null
+++ b/internal/testboard/floor/book.go
@@ -0,0 +1,74 @@
+package floor
+
+import (
+	"fmt"
+	"sync"
+
+	"mulleinrouter/internal/testboard/rules"
+)
+
+// book collects what is seen, from all goroutines.
+type book struct {
+	mu       sync.Mutex
+	log      rules.Log
+	tries    []*rules.Try
+	arrivals []*rules.Arrival
+	versions []*rules.Version
+	troubles []*rules.Trouble
+	notes    []string
+}
+
+// do runs what changes an entry.
+func (b *book) do(change func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	change()
+}
+
+func (b *book) arrival(a *rules.Arrival) { b.do(func() { b.arrivals = append(b.arrivals, a) }) }
+func (b *book) try(t *rules.Try)         { b.do(func() { b.tries = append(b.tries, t) }) }
+func (b *book) version(v *rules.Version) { b.do(func() { b.versions = append(b.versions, v) }) }
+func (b *book) leave(l rules.Leave)      { b.do(func() { b.log.Leaves = append(b.log.Leaves, l) }) }
+func (b *book) read(r rules.Read)        { b.do(func() { b.log.Reads = append(b.log.Reads, r) }) }
+func (b *book) life(machine string, at rules.Seconds) {
+	b.do(func() { b.log.Lives = append(b.log.Lives, rules.Life{Machine: machine, At: at}) })
+}
+func (b *book) order(machine string, at rules.Seconds) {
+	b.do(func() { b.log.Orders = append(b.log.Orders, rules.Order{Machine: machine, At: at}) })
+}
+
+// trouble notes trouble that lasts until over is called, for ever if it is not.
+func (b *book) trouble(t rules.Trouble) (over func(rules.Seconds)) {
+	t.To = rules.Never
+	b.do(func() { b.troubles = append(b.troubles, &t) })
+	return func(at rules.Seconds) { b.do(func() { t.To = at }) }
+}
+
+// ownEnd notes that a process ended by itself. Within a second of trouble on its machine that is no fault of its own, and only told.
+func (b *book) ownEnd(process string, at rules.Seconds, text string) {
+	b.do(func() { b.log.Stuck = append(b.log.Stuck, rules.Own{Process: process, At: at, Text: text}) })
+}
+
+func (b *book) note(format string, args ...any) {
+	b.do(func() { b.notes = append(b.notes, fmt.Sprintf(format, args...)) })
+}
+
+// whole is a copy of all that is in the book.
+func (b *book) whole() *rules.Log {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.log
+	for _, t := range b.tries {
+		l.Tries = append(l.Tries, *t)
+	}
+	for _, a := range b.arrivals {
+		l.Arrivals = append(l.Arrivals, *a)
+	}
+	for _, v := range b.versions {
+		l.Versions = append(l.Versions, *v)
+	}
+	for _, t := range b.troubles {
+		l.Troubles = append(l.Troubles, *t)
+	}
+	return &l
+}
--- /dev/null
+++ b/internal/testboard/floor/faults.go
@@ -0,0 +1,372 @@
+package floor
+
+import (
+	"bufio"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"mulleinrouter/internal/testboard/rules"
+)
+
+// Fault is one entry of a schedule.
+type Fault struct {
+	At     time.Duration // since the traffic began
+	Name   string
+	Target int // which machine, from 0, of those that it may strike
+}
+
+const (
+	frozenFor = 4 * time.Second
+	darkFor   = 3 * time.Second
+	oddFor    = 2 * time.Second // servers answer wrongly
+	hotFor    = 6 * time.Second
+	oddShare  = 0.15 // of a server's answers
+)
+
+// trick is a fault by its name.
+type trick struct {
+	help string
+	play func(f *floor, target int)
+}
+
+var faults map[string]trick
+
+func init() {
+	faults = map[string]trick{
+		"kill-proxy": {"a proxy is killed", func(f *floor, n int) { m := f.edgeOf(n); m.crash([]*process{m.proc(proxyProgram)}, nil) }},
+		"kill-agent": {"an agent is killed", func(f *floor, n int) { m := f.edgeOf(n); m.crash([]*process{m.proc(agentProgram)}, nil) }},
+		"kill-edge":  {"a proxy and its agent are killed", func(f *floor, n int) { m := f.edgeOf(n); m.crash(m.procs, nil) }},
+		"kill-core":  {"a core node is killed", func(f *floor, n int) { m := f.coreOf(n); m.crash(m.procs, nil) }},
+		"kill-all-core": {"all core nodes are killed at once", func(f *floor, n int) {
+			f.blackout(-1)
+		}},
+		"wipe-core": {"a core node loses its disk right after it has acknowledged a change", func(f *floor, n int) {
+			f.change(f.classes[0])
+			m := f.coreOf(n)
+			m.crash(m.procs, func() { m.wipe() })
+		}},
+		"blackout": {"all core nodes are killed right after a change is acknowledged, and one loses its disk", func(f *floor, n int) {
+			f.change(f.classes[0])
+			f.blackout(n % len(f.core))
+		}},
+		"roll-core": {"core nodes get SIGTERM one after the other", func(f *floor, n int) {
+			for _, m := range f.core {
+				m.roll()
+				f.hold(2 * time.Second)
+			}
+		}},
+		"roll-edge": {"edge machines get SIGTERM one after the other", func(f *floor, n int) {
+			for _, m := range f.edge {
+				m.roll()
+				f.hold(2 * time.Second)
+			}
+		}},
+		"roll-one":    {"an edge machine gets SIGTERM", func(f *floor, n int) { f.edgeOf(n).roll() }},
+		"freeze-core": {"a core node stands still for 4 s", func(f *floor, n int) { f.coreOf(n).freeze(frozenFor) }},
+		"crash": {"a server crashes, and another comes", func(f *floor, n int) {
+			if s := f.serverOf(n); s != nil {
+				s.crash()
+				f.hold(time.Second)
+				f.replace(s, "127.0.0.1:0")
+			}
+		}},
+		"reuse": {"a server crashes, and its address goes to one of another service", func(f *floor, n int) {
+			if s := f.serverOf(n); s != nil {
+				s.crash()
+				f.hold(time.Duration(f.o.Bounds.ReuseAfter*float64(time.Second)) + 50*time.Millisecond)
+				for _, name := range f.serviceNames() {
+					if name != s.service {
+						f.replace(&server{service: name, zone: s.zone, generation: s.generation}, s.addr)
+						break
+					}
+				}
+				f.replace(s, "127.0.0.1:0")
+			}
+		}},
+		"dark": {"a server neither reads nor answers for 3 s", func(f *floor, n int) {
+			if s := f.serverOf(n); s != nil {
+				s.darken(darkFor)
+			}
+		}},
+		"release": {"the servers of a service are replaced, new ones first", func(f *floor, n int) {
+			names := f.serviceNames()
+			for _, s := range f.serversOf(names[n%len(names)]) {
+				f.replace(&server{service: s.service, zone: s.zone, generation: "v2"}, "127.0.0.1:0")
+				if !f.hold(200 * time.Millisecond) {
+					return
+				}
+				f.faults.Go(s.leave)
+				f.hold(300 * time.Millisecond)
+			}
+		}},
+		"scale-in": {"a server leaves in order", func(f *floor, n int) {
+			if s := f.serverOf(n); s != nil {
+				s.leave()
+			}
+		}},
+		"lose":    {"answers are lost after their requests ran", spoils(lose)},
+		"reset":   {"connections are reset while their requests run", spoils(reset)},
+		"garble":  {"servers send bytes that are no answer", spoils(garble)},
+		"cut":     {"answers end in the middle", spoils(cut)},
+		"surplus": {"answers come a second time, late", spoils(surplus)},
+		"config": {"the configuration changes a few times", func(f *floor, n int) {
+			for range 4 {
+				f.change(f.classes[f.intn(len(f.classes))])
+				if !f.hold(300 * time.Millisecond) {
+					return
+				}
+			}
+		}},
+		"race":    {"two operators change a route at once, under one version", func(f *floor, n int) { f.race() }},
+		"invalid": {"invalid configurations are sent", func(f *floor, n int) { f.invalid() }},
+		"revoke": {"a key is taken away, and another given", func(f *floor, n int) {
+			t := f.tenants[n%len(f.tenants)]
+			t.mu.Lock()
+			old := t.keys[0]
+			t.keys = append(slices.Clone(t.keys[1:]), fmt.Sprintf("knew%x", f.intn(1<<30)))
+			fresh := t.keys[len(t.keys)-1]
+			kept := t.keys[0]
+			full := t.keys
+			t.keys = []string{kept} // what clients use until the new one is in force
+			t.mu.Unlock()
+			i := t.item()
+			i.body["apiKeys"] = full
+			if f.operator.bring(i) != 200 {
+				return
+			}
+			r := f.liveRoutes(f.classes[0])[0]
+			f.oddities(oddity{r, old}, oddity{r, fresh})
+			f.hold(time.Duration(f.o.Bounds.ConfigApply * float64(time.Second)))
+			t.mu.Lock()
+			t.keys = full
+			t.mu.Unlock()
+		}},
+		"hot": {"a tenant sends eight times its usual, for 6 s", func(f *floor, n int) {
+			f.hot.Store(f.tenants[n%2])
+			f.hold(hotFor)
+			f.hot.Store(nil)
+		}},
+	}
+}
+
+// Names is the names of all faults, with what they are.
+func Names() (names, help []string) {
+	for name := range faults {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		help = append(help, faults[name].help)
+	}
+	return names, help
+}
+
+// Schedule reads a schedule: the name of a file with lines "SECONDS NAME [TARGET]", where # begins what says nothing, or names joined by
+// commas, which get times between a tenth and seven tenths of the play, and targets, by the seed.
+func Schedule(text string, span time.Duration, seed uint64) ([]Fault, error) {
+	if text == "" {
+		return nil, nil
+	}
+	var list []Fault
+	if file, err := os.Open(text); err == nil {
+		defer file.Close()
+		in := bufio.NewScanner(file)
+		for n := 1; in.Scan(); n++ {
+			line, _, _ := strings.Cut(in.Text(), "#")
+			words := strings.Fields(line)
+			if len(words) == 0 {
+				continue
+			}
+			x := Fault{}
+			at, err := strconv.ParseFloat(words[0], 64)
+			if err != nil || at < 0 || len(words) < 2 || len(words) > 3 {
+				return nil, fmt.Errorf("%s:%d: not \"SECONDS NAME [TARGET]\"", text, n)
+			}
+			x.At, x.Name = time.Duration(at*float64(time.Second)), words[1]
+			if len(words) == 3 {
+				if x.Target, err = strconv.Atoi(words[2]); err != nil || x.Target < 0 {
+					return nil, fmt.Errorf("%s:%d: the target is not a number from 0", text, n)
+				}
+			}
+			if _, ok := faults[x.Name]; !ok {
+				return nil, fmt.Errorf("%s:%d: no fault is named %q", text, n, x.Name)
+			}
+			list = append(list, x)
+		}
+		return list, in.Err()
+	}
+	rng := rand.New(rand.NewPCG(seed, 7))
+	for name := range strings.SplitSeq(text, ",") {
+		if _, ok := faults[name]; !ok {
+			return nil, fmt.Errorf("%q is neither a file nor the name of a fault", name)
+		}
+		list = append(list, Fault{At: time.Duration((0.1 + 0.6*rng.Float64()) * float64(span)), Name: name, Target: rng.IntN(1 << 10)})
+	}
+	slices.SortStableFunc(list, func(a, b Fault) int { return int(a.At - b.At) })
+	return list, nil
+}
+
+func (f *floor) edgeOf(n int) *machine { return f.edge[n%len(f.edge)] }
+func (f *floor) coreOf(n int) *machine { return f.core[n%len(f.core)] }
+
+func (f *floor) serviceNames() (names []string) {
+	for _, c := range f.classes {
+		names = append(names, c.service)
+	}
+	return names
+}
+
+// serversOf is the servers of a service that serve; of all services where none is named.
+func (f *floor) serversOf(service string) (list []*server) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.servers {
+		if (service == "" || s.service == service) && s.ctx.Err() == nil && !s.draining.Load() {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+func (f *floor) serverOf(n int) *server {
+	list := f.serversOf("")
+	if len(list) == 0 {
+		return nil
+	}
+	return list[n%len(list)]
+}
+
+// replace starts a server like another one.
+func (f *floor) replace(s *server, addr string) {
+	if _, err := f.serve(s.service, s.zone, addr, s.generation); err != nil {
+		f.book.note("a server was not started: %v", err)
+	}
+}
+
+func spoils(what mishap) func(f *floor, n int) {
+	return func(f *floor, _ int) {
+		list := f.serversOf("")
+		for _, s := range list {
+			s.spoil(what, oddShare)
+		}
+		f.hold(oddFor)
+		for _, s := range list {
+			s.spoil(what, 0)
+		}
+	}
+}
+
+func (m *machine) wipe() {
+	if err := os.RemoveAll(m.disk()); err != nil {
+		m.f.book.note("%s: %v", m.name, err)
+	}
+	if err := os.MkdirAll(m.disk(), 0o700); err != nil {
+		m.f.book.note("%s: %v", m.name, err)
+	}
+}
+
+// blackout kills all core nodes, wipes one disk (-1: none), and starts them again.
+func (f *floor) blackout(wiped int) {
+	over := f.book.trouble(rules.Trouble{Machine: "core", Core: true, Majority: true, From: f.now()})
+	f.book.do(func() { f.book.log.Closing = f.now() })
+	var dead, back sync.WaitGroup
+	dead.Add(len(f.core))
+	for n, m := range f.core {
+		back.Go(func() {
+			m.crash(m.procs, func() {
+				if n == wiped {
+					m.wipe()
+				}
+				dead.Done()
+				dead.Wait()
+			})
+		})
+	}
+	back.Wait()
+	over(f.now())
+}
+
+// change makes one change by chance: it moves a route and back, splits one, adds one, drops one that was added, or changes its times.
+func (f *floor) change(c *class) {
+	list := f.liveRoutes(c)
+	r := list[f.intn(2)] // of the first ones
+	switch f.intn(5) {
+	case 0:
+		f.operator.bring(r.item(c.also))
+		f.oddities(oddity{route: r})
+	case 1:
+		f.operator.bring(r.item(c.service))
+		f.oddities(oddity{route: r})
+	case 2:
+		i := r.item(c.service)
+		delete(i.body, "backend")
+		i.body["weighted"] = []body{{"backend": c.service, "share": 60}, {"backend": c.also, "share": 40}}
+		f.operator.bring(i)
+		f.oddities(oddity{route: r})
+	case 3:
+		if len(list) > 2 {
+			gone := list[len(list)-1]
+			f.mu.Lock()
+			f.live[c] = slices.DeleteFunc(f.live[c], func(r *route) bool { return r == gone })
+			f.mu.Unlock()
+			f.oddities(oddity{route: gone})
+			f.operator.bring(item{section: "routes", name: gone.name})
+			return
+		}
+		fallthrough
+	default:
+		n := f.intn(1 << 16)
+		fresh := &route{name: fmt.Sprintf("r-n%04x", n), host: fmt.Sprintf("n%04x.example", n), prefix: "/added/", class: c}
+		f.oddities(oddity{route: fresh})
+		if f.operator.bring(fresh.item(c.service)) == 200 {
+			f.faults.Go(func() {
+				if f.hold(time.Duration(f.o.Bounds.ConfigApply * float64(time.Second))) {
+					f.mu.Lock()
+					f.live[c] = append(f.live[c], fresh)
+					f.mu.Unlock()
+				}
+			})
+		}
+	}
+}
+
+// race has two operators change a route at the same time, under one version, at two nodes.
+func (f *floor) race() {
+	c := f.classes[0]
+	r := f.liveRoutes(c)[0]
+	number := f.operator.next()
+	f.oddities(oddity{route: r})
+	var both sync.WaitGroup
+	for n, service := range []string{c.service, c.also} {
+		both.Go(func() { f.operator.send(n, true, stated(r.item(service), number)) })
+	}
+	both.Wait()
+}
+
+// invalid sends configurations that are invalid; each has a route in it that would work, if any part took effect.
+func (f *floor) invalid() {
+	c := f.classes[0]
+	r := f.liveRoutes(c)[0]
+	for n, spoil := range []func(body){
+		func(b body) { b["backend"] = "nosuch" }, func(b body) { b["deadlineMs"] = 0 }, func(b body) { b["pathPrefix"] = "bare/" },
+		func(b body) { b["authority"] = "" }, func(b body) { b["routeKind"] = "odd" },
+		func(b body) { b["authority"], b["pathPrefix"] = r.host, r.prefix },
+	} {
+		tag := fmt.Sprintf("%d%04x", n, f.intn(1<<16))
+		canary := &route{name: "r-c" + tag, host: "c" + tag + ".example", prefix: "/canary/", class: c}
+		bad := (&route{name: "r-b" + tag, host: "b" + tag + ".example", prefix: "/bad/", class: c}).item(c.service)
+		spoil(bad.body)
+		number := f.operator.next()
+		f.oddities(oddity{route: canary})
+		f.operator.send(f.intn(len(f.core)), false, stated(canary.item(c.service), number), stated(bad, number))
+		if !f.hold(100 * time.Millisecond) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/testboard/floor/floor.go
@@ -0,0 +1,505 @@
+// Package floor plays the system on one box: real processes of its three programs, each machine with a loopback address of its own, and
+// in this process what they meet: servers, an operator, clients and the platform that spreads them, written from PROTOCOL.md. Faults come
+// by a schedule. What was seen goes to package rules, which judges it.
+package floor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mulleinrouter/internal/office/premises"
+	"mulleinrouter/internal/testboard/rules"
+)
+
+const (
+	zones      = 3
+	peopleMany = 60
+	tenantMany = 6
+	healthPath = "/health"
+	hotTimes   = 8
+
+	startMost = 25 * time.Second // for the machines to be ready
+	probeEach = 80 * time.Millisecond
+)
+
+func zoneName(z int) string { return fmt.Sprintf("hall-%c", 'a'+z) }
+
+// Options is what is played.
+type Options struct {
+	Core, Edge int           // machines
+	For        time.Duration // of traffic
+	Faults     []Fault
+	Seed       uint64
+	Bin        string          // folder of the three programs
+	Load       float64         // of the usual 120 requests a second; 0: 1
+	Bounds     premises.Bounds // zero: Usual
+	Beat       time.Duration   // of servers; 0: 1.5 s
+	Race       bool            // the programs have the race detector in them
+	Dir        string          // folder for settings, disks and logs
+}
+
+// Usual is the figures of the rules on usual days.
+func Usual() premises.Bounds {
+	return premises.Bounds{SeedLag: 3, ReuseAfter: 2, Contact: 3, Ack: 5, CatchUp: 4, Drain: 2.5, Grace: 6, LossSlack: 0.2, ConfigApply: 2.5,
+		RevertSlack: 0.25, StretchMost: 8, Revoke: 5, RetryRatio: 0.2, RetryWindow: 10, RetrySlack: 62, QuotaWindow: 5, QuotaExcess: 0.1,
+		QuotaSlack: 20, Recovery: 15}
+}
+
+// Brisk is figures for plays of a few seconds: machines are held to the rules sooner after trouble, and to less time.
+func Brisk() premises.Bounds {
+	b := Usual()
+	b.Contact, b.ConfigApply, b.Drain, b.StretchMost = 1, 1.5, 1.2, 3
+	return b
+}
+
+// kind is a service.
+type kind struct {
+	slots, many int
+	work        time.Duration
+}
+
+// class is a kind of requests.
+type class struct {
+	name          string
+	once          bool
+	rate          float64 // a second
+	service, also string
+	aim, deadline time.Duration
+}
+
+// route is a route that clients ask.
+type route struct {
+	name, host, prefix string
+	class              *class
+	public             bool
+}
+
+// tenant is one that clients ask for.
+type tenant struct {
+	name        string
+	weight      float64
+	rate, burst float64
+
+	mu   sync.Mutex
+	keys []string
+}
+
+func (t *tenant) key(rng *rand.Rand) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.keys[rng.IntN(len(t.keys))]
+}
+
+// floor is one play.
+type floor struct {
+	o        Options
+	launcher *launcher
+	ports    ports
+	core     []*machine
+	edge     []*machine
+	book     book
+	base     time.Time
+	open     rules.Seconds // when traffic began
+
+	world context.Context // ends when all is over
+	ctx   context.Context // ends with the traffic
+	all   sync.WaitGroup  // of world
+
+	control  *http.Client // for calls of servers, the operator and the platform
+	operator *operator
+	services map[string]kind
+	classes  []*class
+	tenants  []*tenant
+	people   []*person
+	clients  sync.WaitGroup
+	faults   sync.WaitGroup
+	serial   atomic.Int64
+	out      atomic.Int64
+	probes   atomic.Int64 // of health, at servers
+	hot      atomic.Pointer[tenant]
+	ackTimes span
+
+	mu      sync.Mutex
+	rng     *rand.Rand
+	servers []*server
+	entries []entry
+	live    map[*class][]*route
+	odd     []oddity // what probes ask for
+}
+
+// oddity is a request whose handling shows which configuration is in force.
+type oddity struct {
+	route *route
+	key   string
+}
+
+func (f *floor) now() rules.Seconds           { return time.Since(f.base).Seconds() }
+func (f *floor) at(t time.Time) rules.Seconds { return t.Sub(f.base).Seconds() }
+func (f *floor) grace() time.Duration         { return time.Duration(f.o.Bounds.Grace * float64(time.Second)) }
+func (f *floor) intn(n int) int               { f.mu.Lock(); defer f.mu.Unlock(); return f.rng.IntN(n) }
+func (f *floor) liveRoutes(c *class) []*route {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.live[c])
+}
+func (f *floor) pause(d time.Duration)            { wait(f.world, d) }
+func (f *floor) hold(d time.Duration) (more bool) { wait(f.ctx, d); return f.ctx.Err() == nil }
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// nameOf is the machine with an address.
+func (f *floor) nameOf(ip string) string {
+	for _, m := range slices.Concat(f.core, f.edge) {
+		if m.ip == ip {
+			return m.name
+		}
+	}
+	return ip
+}
+
+// Play plays, and judges what was seen. An error tells that it could not be played at all, or that ctx ended. Nothing that it started
+// is left when it returns.
+func Play(ctx context.Context, o Options) (*Report, error) {
+	if o.Load == 0 {
+		o.Load = 1
+	}
+	if o.Beat == 0 {
+		o.Beat = 1500 * time.Millisecond
+	}
+	if o.Bounds == (premises.Bounds{}) {
+		o.Bounds = Usual()
+	}
+	if o.Core < 1 || o.Edge < 1 || o.Core > 50 || o.Edge > 50 {
+		return nil, errors.New("between 1 and 50 core machines, and as many edge machines")
+	}
+	bin, err := filepath.Abs(o.Bin) // processes start in folders of their own
+	if err != nil {
+		return nil, err
+	}
+	o.Bin = bin
+	f := &floor{o: o, base: time.Now(), rng: rand.New(rand.NewPCG(o.Seed, 0)), live: map[*class][]*route{}}
+	f.book.log.Closing = rules.Never
+	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 10 * time.Second, DisableCompression: true}
+	defer transport.CloseIdleConnections()
+	f.control = &http.Client{Transport: transport, CheckRedirect: func(_ *http.Request, via []*http.Request) error {
+		if len(via) > 2 {
+			return http.ErrUseLastResponse
+		}
+		return nil
+	}}
+	f.operator = &operator{f: f, rng: rand.New(rand.NewPCG(o.Seed, 1)), number: 6, items: map[string]item{}}
+	if err := f.build(); err != nil {
+		return nil, err
+	}
+	world, over := context.WithCancel(context.Background())
+	f.world = world
+	var quiet context.CancelFunc
+	f.ctx, quiet = context.WithCancel(ctx)
+	f.launcher = newLauncher()
+	err = f.play()
+	quiet()
+	f.clients.Wait()
+	f.faults.Wait()
+	if err == nil {
+		err = ctx.Err()
+	}
+	var r *Report
+	if err == nil {
+		f.operator.readBack()
+		r = f.report()
+	}
+	f.end()
+	over()
+	f.all.Wait()
+	f.launcher.close()
+	if err != nil {
+		return nil, err
+	}
+	for _, p := range f.people {
+		f.drop(p.idle)
+	}
+	r.judge(f)
+	return r, nil
+}
+
+// build lays out machines, services, classes, routes and tenants.
+func (f *floor) build() error {
+	var ips []string
+	add := func(name string, core bool, n int, programs ...string) *machine {
+		host := n/zones + 1
+		if core {
+			host += 100
+		}
+		m := &machine{f: f, name: fmt.Sprintf("%s-%d", name, n+1), ip: fmt.Sprintf("127.1.%d.%d", n%zones, host), zone: n % zones, core: core}
+		m.dir = filepath.Join(f.o.Dir, m.name)
+		for _, p := range programs {
+			m.procs = append(m.procs, &process{m: m, program: p})
+		}
+		ips = append(ips, m.ip)
+		return m
+	}
+	for n := range f.o.Core {
+		f.core = append(f.core, add("core", true, n, coreProgram))
+	}
+	for n := range f.o.Edge {
+		f.edge = append(f.edge, add("edge", false, n, agentProgram, proxyProgram))
+	}
+	f.entries = make([]entry, len(f.edge))
+	var err error
+	// Other plays may run on this box: the ports are drawn by chance, not by the seed.
+	if f.ports, err = drawPorts(rand.New(rand.NewPCG(uint64(os.Getpid()), uint64(time.Now().UnixNano()))), ips); err != nil {
+		return err
+	}
+	for _, m := range slices.Concat(f.core, f.edge) {
+		if err := os.MkdirAll(m.dir, 0o700); err != nil {
+			return err
+		}
+		if m.core {
+			if err := os.MkdirAll(m.disk(), 0o700); err != nil {
+				return err
+			}
+		}
+		if err := m.settle(true); err != nil {
+			return err
+		}
+	}
+	word := func(kind string) string { return fmt.Sprintf("%s%04x", kind, f.rng.Uint32N(1<<16)) }
+	a, b, c := word("look"), word("note"), word("file")
+	f.services = map[string]kind{a: {3, 5, 40 * time.Millisecond}, b: {3, 4, 50 * time.Millisecond}, c: {3, 4, 30 * time.Millisecond}}
+	f.classes = []*class{
+		{name: "read", rate: 70, service: a, also: c, aim: 400 * time.Millisecond, deadline: 2000 * time.Millisecond},
+		{name: "set", once: true, rate: 30, service: b, also: a, aim: 500 * time.Millisecond, deadline: 2500 * time.Millisecond},
+		{name: "file", once: true, rate: 20, service: c, also: a, aim: 300 * time.Millisecond, deadline: 1800 * time.Millisecond},
+	}
+	rate, weights := 0.0, 0.0
+	for _, c := range f.classes {
+		rate += c.rate
+		for n := range 2 {
+			f.live[c] = append(f.live[c], &route{name: word("r-"), host: word("h") + ".example", prefix: "/" + word("p") + "/", class: c, public: n == 1 && c.once})
+		}
+	}
+	for n := range tenantMany {
+		weights += 1 / float64(n+1)
+	}
+	for n := range tenantMany {
+		w := 1 / float64(n+1) / weights
+		t := &tenant{name: word("t"), weight: w, keys: []string{word("k") + word("x"), word("k") + word("y")}}
+		t.rate = float64(int(1.6*w*rate*f.o.Load) + 3)
+		t.burst = t.rate
+		f.tenants = append(f.tenants, t)
+	}
+	for n := range peopleMany {
+		f.people = append(f.people, &person{number: n, zone: f.rng.IntN(zones)})
+	}
+	return nil
+}
+
+func (r *route) body(service string) body {
+	b := body{"authority": r.host, "pathPrefix": r.prefix, "routeKind": "idempotent", "deadlineMs": r.class.deadline.Milliseconds(),
+		"targetMs": r.class.aim.Milliseconds(), "priority": 1, "maxTries": 2, "public": r.public, "backend": service}
+	if r.class.once {
+		b["routeKind"] = "mutating"
+	}
+	return b
+}
+
+func (r *route) item(service string) item {
+	return item{section: "routes", name: r.name, body: r.body(service)}
+}
+
+func (t *tenant) item() item {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return item{section: "customers", name: t.name, body: body{"apiKeys": slices.Clone(t.keys), "priority": 0, "ratePerS": t.rate, "burst": t.burst}}
+}
+
+// first is the items of the operator's first call.
+func (f *floor) first() (items []item) {
+	for name := range f.services {
+		items = append(items, item{section: "services", name: name,
+			body: body{"healthPath": healthPath, "maxConns": serverConns, "protocol": "h1", "tlsMode": false}})
+	}
+	for _, c := range f.classes {
+		for _, r := range f.live[c] {
+			items = append(items, r.item(c.service))
+		}
+	}
+	for _, t := range f.tenants {
+		items = append(items, t.item())
+	}
+	return append(items, item{section: "limits",
+		body: body{"maxHeaderBytes": 16384, "maxBodyBytes": 64 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}})
+}
+
+// play starts all, has the traffic and the faults run, and returns when their time is over.
+func (f *floor) play() error {
+	started := map[string]func(rules.Seconds){}
+	for _, m := range slices.Concat(f.core, f.edge) {
+		started[m.name] = f.book.trouble(rules.Trouble{Machine: m.name, Core: m.core, Planned: true})
+		if err := m.begin(); err != nil {
+			return err
+		}
+	}
+	f.all.Go(f.watch)
+	for name, kind := range f.services {
+		for n := range kind.many {
+			if _, err := f.station(name, n); err != nil {
+				return err
+			}
+		}
+	}
+	if status := f.operator.bring(f.first()...); status != 200 {
+		return fmt.Errorf("the first configuration was not taken, the last answer was %d\n%s", status, f.logs())
+	}
+	for _, m := range slices.Concat(f.core, f.edge) {
+		if err := m.settle(false); err != nil {
+			return err
+		}
+	}
+	if err := f.await(); err != nil {
+		return err
+	}
+	f.open = f.now()
+	for _, over := range started {
+		over(f.open)
+	}
+	for n, c := range f.classes {
+		f.clients.Go(func() { f.stream(c, rand.New(rand.NewPCG(f.o.Seed, uint64(n+2)))) })
+	}
+	f.clients.Go(f.ask)
+	for _, x := range f.o.Faults {
+		f.faults.Go(func() {
+			if f.hold(x.At) {
+				f.book.note("%.1f s: %s", f.now()-f.open, x.Name)
+				faults[x.Name].play(f, x.Target)
+			}
+		})
+	}
+	f.hold(f.o.For)
+	return nil
+}
+
+// station opens the nth server of a service.
+func (f *floor) station(service string, n int) (*server, error) {
+	return f.serve(service, zoneName(n%zones), "127.0.0.1:0", "v1")
+}
+
+// await waits until every machine is ready and serves each route.
+func (f *floor) await() error {
+	until := time.Now().Add(startMost)
+	rng := rand.New(rand.NewPCG(f.o.Seed, 99))
+	for _, m := range f.edge {
+		for !f.ready(m, time.Second) {
+			if time.Now().After(until) || !f.hold(30*time.Millisecond) {
+				return fmt.Errorf("%s was not ready in %v\n%s", m.name, startMost, f.logs())
+			}
+		}
+		for _, c := range f.classes {
+			for _, r := range f.live[c] {
+				for {
+					t, _ := f.try(&order{class: c, route: r, key: f.tenants[0].key(rng), person: f.people[0], probe: m, began: time.Now()}, 0, c.deadline, rng)
+					if t.Status == 200 {
+						break
+					}
+					if time.Now().After(until) || !f.hold(30*time.Millisecond) {
+						return fmt.Errorf("%s did not serve %s in %v: %v, %d\n%s", m.name, c.name, startMost, t.End, t.Status, f.logs())
+					}
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// logs is the end of each process's log.
+func (f *floor) logs() string {
+	var b strings.Builder
+	for _, m := range slices.Concat(f.core, f.edge) {
+		for _, p := range m.procs {
+			fmt.Fprintf(&b, "--- %s on %s\n%s\n", p.program, m.name, p.logEnd())
+		}
+	}
+	return b.String()
+}
+
+// ask asks each machine in turn for what was changed lately, or was never there.
+func (f *floor) ask() {
+	rng := rand.New(rand.NewPCG(f.o.Seed, 98))
+	never := &route{name: "never", host: "nowhere.example", prefix: "/never/", class: f.classes[0]}
+	for n := 0; f.hold(probeEach); n++ {
+		m := f.edge[n%len(f.edge)]
+		f.mu.Lock()
+		odd := oddity{route: never}
+		if len(f.odd) > 0 && rng.IntN(5) > 0 {
+			odd = f.odd[len(f.odd)-1-rng.IntN(min(len(f.odd), 6))]
+		}
+		f.mu.Unlock()
+		if odd.key == "" {
+			odd.key = f.tenants[0].key(rng)
+		}
+		seed := rng.Uint64()
+		f.clients.Go(func() {
+			f.order(&order{class: odd.route.class, route: odd.route, key: odd.key, person: f.people[0], probe: m, began: time.Now()},
+				rand.New(rand.NewPCG(seed, 2)))
+		})
+	}
+}
+
+func (f *floor) oddities(odd ...oddity) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.odd = append(f.odd, odd...)
+}
+
+func (f *floor) drawTenant(rng *rand.Rand, hot *tenant) *tenant {
+	all := 1.0
+	if hot != nil {
+		all += hot.weight * (hotTimes - 1)
+	}
+	at := rng.Float64() * all
+	for _, t := range f.tenants {
+		w := t.weight
+		if t == hot {
+			w *= hotTimes
+		}
+		if at -= w; at < 0 {
+			return t
+		}
+	}
+	return f.tenants[0]
+}
+
+// end ends all processes.
+func (f *floor) end() {
+	var all sync.WaitGroup
+	for _, m := range slices.Concat(f.edge, f.core) {
+		for _, p := range m.procs {
+			all.Go(func() {
+				p.mu.Lock()
+				p.hold = true
+				p.mu.Unlock()
+				if f.ctx.Err() != nil && p.quit(f.grace()) {
+					f.book.note("%s on %s did not end within the grace after SIGTERM", p.program, m.name)
+				}
+			})
+		}
+	}
+	all.Wait()
+}
--- /dev/null
+++ b/internal/testboard/floor/machine.go
@@ -0,0 +1,407 @@
+package floor
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"mulleinrouter/internal/testboard/rules"
+)
+
+// The programs, as they are named in the folder of programs.
+const (
+	proxyProgram = "switchboard"
+	agentProgram = "linefinder"
+	coreProgram  = "tandem"
+)
+
+const (
+	comeBack  = 300 * time.Millisecond // after which a process that ended is started again
+	innerMany = 4                      // inner ports
+	logMost   = 400                    // bytes of a log's end that are shown
+)
+
+// ports are those of the day: the same on all machines.
+type ports struct{ front, ready, control, inner int }
+
+// machine is one of the simulated machines: an address of loopback, a folder for settings and logs, one for the disk, and processes.
+type machine struct {
+	f        *floor
+	name, ip string
+	zone     int
+	core     bool
+	dir      string
+	procs    []*process
+	settling sync.Mutex // one change of what runs at a time
+}
+
+// process is one program on a machine, over all its lives.
+type process struct {
+	m       *machine
+	program string
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	done    chan struct{} // closed once this life has ended
+	asked   bool          // this life was told to end
+	hold    bool          // it is not to be started again
+	lives   int
+	cpu     time.Duration // of lives that ended
+	peak    int64         // bytes, the most of any life
+	running bool
+}
+
+// drawPorts finds ports that are free on all machines. They lie below those that the kernel gives to connections.
+func drawPorts(rng *rand.Rand, ips []string) (ports, error) {
+	free := func(port int) bool {
+		for _, ip := range ips {
+			l, err := net.Listen("tcp4", net.JoinHostPort(ip, strconv.Itoa(port)))
+			if err != nil {
+				return false
+			}
+			l.Close()
+		}
+		return true
+	}
+	for range 200 {
+		at := 10000 + rng.IntN(20000)
+		p := ports{front: at, ready: at + 1, control: at + 2, inner: at + 3}
+		ok := true
+		for n := 0; ok && n < 3+innerMany; n++ {
+			ok = free(at + n)
+		}
+		if ok {
+			return p, nil
+		}
+	}
+	return ports{}, errors.New("no ports are free on all machines")
+}
+
+func (m *machine) at(port int) string { return net.JoinHostPort(m.ip, strconv.Itoa(port)) }
+
+func (m *machine) settingsPath(program string) string { return filepath.Join(m.dir, program+".conf") }
+
+func (m *machine) disk() string { return filepath.Join(m.dir, "disk") }
+
+// settle writes the settings files of the machine's processes.
+func (m *machine) settle(bootstrap bool) error {
+	f, b := m.f, m.f.o.Bounds
+	var seeds []string
+	for _, c := range f.core[:min(3, len(f.core))] {
+		seeds = append(seeds, c.at(f.ports.control))
+	}
+	for _, p := range m.procs {
+		var s strings.Builder
+		line := func(key string, value any) { fmt.Fprintf(&s, "%s=%v\n", key, value) }
+		class, serving := "edge", "edge"
+		if m.core {
+			class, serving = "core", "control"
+		} else if p.program == agentProgram {
+			serving = ""
+		}
+		line("self.nodeName", m.name)
+		line("self.role", p.program)
+		line("self.machineClass", class)
+		line("self.serving", serving)
+		line("self.hostIp", m.ip)
+		line("self.zone", zoneName(m.zone))
+		line("self.region", "floor")
+		line("self.lossCounted", m.core)
+		line("self.bootstrap", bootstrap)
+		line("self.limits.cpuFraction", 0.4)
+		line("self.limits.coreCount", 1)
+		line("self.limits.memoryMb", 284)
+		line("self.limits.maxFds", 4100)
+		line("self.limits.linkMbps", 1000)
+		if m.core {
+			line("self.dataPath", m.disk())
+			line("self.limits.diskMb", 256)
+			line("network.bind.controlAddr", m.at(f.ports.control))
+		} else if p.program == proxyProgram {
+			line("network.bind.frontAddr", m.at(f.ports.front))
+			line("network.bind.readyAddr", m.at(f.ports.ready))
+		}
+		line("network.innerPortRange", fmt.Sprintf("%d,%d", f.ports.inner, f.ports.inner+innerMany-1))
+		line("network.seedNodes", strings.Join(seeds, ","))
+		for z := range zones {
+			line("network.zones."+zoneName(z), "floor")
+		}
+		line("platform.discoverySource", "self_register")
+		line("platform.entryKind", "vip")
+		line("platform.beatMs", f.o.Beat.Milliseconds())
+		line("platform.configMode", "parts")
+		line("terms.clauses", "base,drain,config,cost,retry,recover,tenants,quota")
+		line("terms.tolerance.machineLosses", (len(f.core)-1)/2)
+		for _, set := range []struct {
+			key   string
+			value float64
+		}{
+			{"seedLagS", b.SeedLag}, {"reuseAfterS", b.ReuseAfter}, {"contactMs", 1000 * b.Contact}, {"ackMs", 1000 * b.Ack}, {"catchUpS", b.CatchUp},
+			{"drainMs", 1000 * b.Drain}, {"graceS", b.Grace}, {"lossSlackMs", 1000 * b.LossSlack}, {"configApplyMs", 1000 * b.ConfigApply},
+			{"revertSlackMs", 1000 * b.RevertSlack}, {"stretchMaxMs", 1000 * b.StretchMost}, {"revokeMs", 1000 * b.Revoke},
+			{"retryRatio", b.RetryRatio}, {"retryWindowS", b.RetryWindow}, {"retrySlack", b.RetrySlack}, {"quotaWindowS", b.QuotaWindow},
+			{"quotaExcess", b.QuotaExcess}, {"quotaSlack", b.QuotaSlack}, {"recoveryS", b.Recovery},
+		} {
+			line("terms.bounds."+set.key, set.value)
+		}
+		line("terms.bounds.revokeGlobal", b.RevokeGlobal)
+		path := m.settingsPath(p.program)
+		if err := os.WriteFile(path+".new", []byte(s.String()), 0o600); err != nil {
+			return err
+		}
+		if err := os.Rename(path+".new", path); err != nil { // whoever reads it meanwhile sees a whole one
+			return err
+		}
+	}
+	return nil
+}
+
+// launcher starts processes from one thread that lives as long as they: the kernel ends them with it (Pdeathsig), however it dies.
+type launcher struct {
+	calls chan func()
+	over  sync.WaitGroup
+}
+
+func newLauncher() *launcher {
+	l := &launcher{calls: make(chan func())}
+	l.over.Go(func() {
+		runtime.LockOSThread()
+		for call := range l.calls {
+			call()
+		}
+	})
+	return l
+}
+
+func (l *launcher) start(cmd *exec.Cmd) error {
+	told := make(chan error, 1)
+	l.calls <- func() { told <- cmd.Start() }
+	return <-told
+}
+
+func (l *launcher) close() {
+	close(l.calls)
+	l.over.Wait()
+}
+
+// start starts a process that is not running. It is started again when it ends by itself.
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.running {
+		return nil
+	}
+	log, err := os.OpenFile(p.logPath(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(filepath.Join(p.m.f.o.Bin, p.program), "serve")
+	cmd.Dir = p.m.dir
+	cmd.Env = []string{"MULLEINROUTER_CONFIG=" + p.m.settingsPath(p.program), "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C"}
+	if p.m.f.o.Race {
+		cmd.Env = append(cmd.Env, "GORACE=halt_on_error=1")
+	}
+	cmd.Stdout, cmd.Stderr = log, log
+	// A group of its own: an interrupt from the terminal is for us to pass on.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	if err := p.m.f.launcher.start(cmd); err != nil {
+		return fmt.Errorf("%s on %s: %w", p.program, p.m.name, err)
+	}
+	p.cmd, p.done, p.asked, p.hold, p.running = cmd, make(chan struct{}), false, false, true
+	p.lives++
+	if !p.m.core {
+		p.m.f.book.life(p.m.name, p.m.f.now())
+	}
+	go p.attend(cmd, p.done)
+	return nil
+}
+
+func (p *process) logPath() string { return filepath.Join(p.m.dir, p.program+".log") }
+
+// attend waits for the end of one life.
+func (p *process) attend(cmd *exec.Cmd, done chan struct{}) {
+	err := cmd.Wait()
+	p.mu.Lock()
+	p.running = false
+	if u, ok := cmd.ProcessState.SysUsage().(*syscall.Rusage); ok {
+		p.peak = max(p.peak, u.Maxrss*1024)
+	}
+	p.cpu += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
+	asked, hold := p.asked, p.hold
+	p.mu.Unlock()
+	close(done)
+	if asked || hold {
+		return
+	}
+	p.m.f.book.ownEnd(p.program+" on "+p.m.name, p.m.f.now(), fmt.Sprintf("%v: %s", err, p.logEnd()))
+	select {
+	case <-p.m.f.ctx.Done():
+	case <-time.After(comeBack):
+		p.start()
+	}
+}
+
+// logEnd is the end of its log.
+func (p *process) logEnd() string {
+	text, _ := os.ReadFile(p.logPath())
+	if at := strings.Index(string(text), "DATA RACE"); at >= 0 {
+		return string(text[max(0, at-30):min(len(text), at+4000)])
+	}
+	if at := strings.LastIndex(string(text), "panic:"); at >= 0 {
+		return string(text[at:min(len(text), at+2000)])
+	}
+	return strings.TrimSpace(string(text[max(0, len(text)-logMost):]))
+}
+
+// signal sends a signal to the life that runs; asked says that its end is wanted.
+func (p *process) signal(s syscall.Signal, asked bool) (done <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		gone := make(chan struct{})
+		close(gone)
+		return gone
+	}
+	if p.running {
+		p.asked = p.asked || asked
+		p.cmd.Process.Signal(s)
+	}
+	return p.done
+}
+
+func (p *process) kill() { <-p.signal(syscall.SIGKILL, true) }
+
+// quit sends SIGTERM, and SIGKILL after the grace, as the platform does; late tells that it came to that.
+func (p *process) quit(grace time.Duration) (late bool) {
+	done := p.signal(syscall.SIGTERM, true)
+	select {
+	case <-done:
+	case <-time.After(grace):
+		p.kill()
+		return true
+	}
+	return false
+}
+
+// usage is what all its lives used.
+func (p *process) usage() (cpu time.Duration, peak int64, lives int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cpu, peak = p.cpu, p.peak
+	if p.running {
+		c, m := measured(p.cmd.Process.Pid)
+		cpu, peak = cpu+c, max(peak, m)
+	}
+	return cpu, peak, p.lives
+}
+
+// measured reads from /proc what a process used: processor time, and the most memory that was resident.
+func measured(pid int) (cpu time.Duration, peak int64) {
+	dir := "/proc/" + strconv.Itoa(pid)
+	if b, err := os.ReadFile(dir + "/stat"); err == nil {
+		_, rest, _ := strings.Cut(string(b), ") ")
+		if f := strings.Fields(rest); len(f) > 12 {
+			user, _ := strconv.ParseInt(f[11], 10, 64)
+			system, _ := strconv.ParseInt(f[12], 10, 64)
+			cpu = time.Duration(user+system) * (time.Second / 100) // the kernel counts in hundredths
+		}
+	}
+	if b, err := os.ReadFile(dir + "/status"); err == nil {
+		_, rest, _ := strings.Cut(string(b), "VmHWM:")
+		if f := strings.Fields(rest); len(f) > 0 {
+			kb, _ := strconv.ParseInt(f[0], 10, 64)
+			peak = kb * 1024
+		}
+	}
+	return cpu, peak
+}
+
+// proc is the machine's process of a program.
+func (m *machine) proc(program string) *process {
+	for _, p := range m.procs {
+		if p.program == program {
+			return p
+		}
+	}
+	panic("floor: " + m.name + " runs no " + program)
+}
+
+// begin starts all that runs on a machine.
+func (m *machine) begin() error {
+	for _, p := range m.procs {
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// crash kills processes of a machine and starts them again, after what is to be done while they are gone. It counts as trouble till then.
+func (m *machine) crash(procs []*process, meanwhile func()) {
+	m.settling.Lock()
+	defer m.settling.Unlock()
+	over := m.f.book.trouble(rules.Trouble{Machine: m.name, Core: m.core, From: m.f.now()})
+	for _, p := range procs {
+		p.kill()
+	}
+	if meanwhile != nil {
+		meanwhile()
+	}
+	m.f.pause(comeBack)
+	for _, p := range procs {
+		p.start()
+	}
+	over(m.f.now())
+}
+
+// roll ends all that runs on a machine with SIGTERM, and starts it again.
+func (m *machine) roll() {
+	m.settling.Lock()
+	defer m.settling.Unlock()
+	over := m.f.book.trouble(rules.Trouble{Machine: m.name, Core: m.core, Planned: true, From: m.f.now()})
+	if !m.core {
+		m.f.book.order(m.name, m.f.now())
+	}
+	var all sync.WaitGroup
+	for _, p := range m.procs {
+		all.Go(func() {
+			if p.quit(m.f.grace()) {
+				m.f.book.note("%s on %s did not end within the grace after SIGTERM", p.program, m.name)
+			}
+		})
+	}
+	all.Wait()
+	m.f.pause(comeBack)
+	for _, p := range m.procs {
+		p.start()
+	}
+	over(m.f.now())
+}
+
+// freeze stops the machine's processes for a while.
+func (m *machine) freeze(span time.Duration) {
+	m.settling.Lock()
+	defer m.settling.Unlock()
+	over := m.f.book.trouble(rules.Trouble{Machine: m.name, Core: m.core, From: m.f.now()})
+	for _, p := range m.procs {
+		p.signal(unix.SIGSTOP, false)
+	}
+	m.f.hold(span)
+	for _, p := range m.procs {
+		p.signal(unix.SIGCONT, false)
+	}
+	over(m.f.now())
+}
--- /dev/null
+++ b/internal/testboard/floor/operator.go
@@ -0,0 +1,259 @@
+package floor
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"mulleinrouter/internal/testboard/rules"
+)
+
+const (
+	callMost   = time.Second // for an answer to the operator; with one more for each MB
+	pauseFirst = 100 * time.Millisecond
+	pauseMost  = time.Second
+	patchMost  = 20 * time.Second // then a call is given up
+	readMost   = 8 * time.Second  // for the whole configuration to be read back from one node
+)
+
+// body is the body of an item.
+type body = map[string]any
+
+// item is an item as a call carries it.
+type item struct {
+	section, name string
+	body          body // nil: it is dropped
+	number        uint64
+}
+
+func (i item) key() string {
+	if i.section == "limits" {
+		return "limits/"
+	}
+	return i.section + "/" + i.name
+}
+
+// operator holds what the operator means to be in force.
+type operator struct {
+	f *floor
+
+	mu     sync.Mutex
+	rng    *rand.Rand
+	number uint64
+	items  map[string]item // as sent last
+}
+
+func (o *operator) next() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.number += 1 + o.rng.Uint64N(3)
+	return o.number
+}
+
+func (o *operator) pick(n int) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.rng.IntN(n)
+}
+
+func version(n uint64) string { return fmt.Sprintf("%08x", n) }
+
+// stated gives an item its version.
+func stated(i item, number uint64) item {
+	i.number = number
+	if i.body != nil {
+		i.body = maps.Clone(i.body)
+		i.body["generation"] = version(number)
+	}
+	return i
+}
+
+// patch is the body of a call.
+func patch(items []item) []byte {
+	upsert, remove := body{}, map[string][]body{"routes": {}}
+	for _, i := range items {
+		switch {
+		case i.body == nil:
+			remove[i.section] = append(remove[i.section], body{"name": i.name, "generation": version(i.number)})
+		case i.section == "limits":
+			upsert["limits"] = i.body
+		default:
+			if upsert[i.section] == nil {
+				upsert[i.section] = body{}
+			}
+			upsert[i.section].(body)[i.name] = i.body
+		}
+	}
+	text, err := json.Marshal(body{"upsert": upsert, "remove": remove})
+	if err != nil {
+		panic(err) // we have composed it
+	}
+	return text
+}
+
+// seen is an item as the rules want it.
+func seen(i item, valid bool, at rules.Seconds) *rules.Version {
+	v := &rules.Version{Item: i.key(), Number: i.number, Dropped: i.body == nil, Valid: valid, Sent: at, Acked: rules.Never}
+	if i.body == nil {
+		return v
+	}
+	text, _ := json.Marshal(i.body)
+	json.Unmarshal(text, &v.Body)
+	switch i.section {
+	case "routes":
+		r := &rules.Route{Host: i.body["authority"].(string), Prefix: i.body["pathPrefix"].(string), Public: i.body["public"].(bool)}
+		if s, ok := i.body["backend"].(string); ok {
+			r.Services = []string{s}
+		}
+		if parts, ok := i.body["weighted"].([]body); ok {
+			for _, p := range parts {
+				r.Services = append(r.Services, p["backend"].(string))
+			}
+		}
+		v.Route = r
+	case "customers":
+		v.Tenant = &rules.Tenant{Name: i.name, Keys: slices.Clone(i.body["apiKeys"].([]string)), Rate: i.body["ratePerS"].(float64),
+			Burst: i.body["burst"].(float64)}
+	}
+	return v
+}
+
+// send brings items, at node first and, where that fails, at the others, until there is a clear answer; status 0: there was none.
+func (o *operator) send(first int, valid bool, items ...item) (status int) {
+	f := o.f
+	var versions []*rules.Version
+	for _, i := range items {
+		v := seen(i, valid, f.now())
+		versions = append(versions, v)
+		f.book.version(v)
+	}
+	text := patch(items)
+	wait := callMost + time.Duration(len(text))*time.Microsecond
+	pause, until, odd := pauseFirst, time.Now().Add(patchMost), 0
+	for n := first; ; n++ {
+		began := f.now()
+		got, said, _ := o.call(http.MethodPatch, f.core[n%len(f.core)], text, wait)
+		switch {
+		case got/100 == 2:
+			f.book.do(func() {
+				for _, v := range versions {
+					v.Acked = f.now()
+				}
+			})
+			f.ackTimes.add(f.now() - began)
+			return got
+		case got == 400 || got == 409 || got == 412 || got == 413 || got == 422, got/100 == 4 && got != 408 && got != 429 && odd == 2:
+			f.book.do(func() {
+				for _, v := range versions {
+					v.Refused = true
+				}
+			})
+			if valid {
+				f.book.note("a valid call got %d from %s: %.200s", got, f.core[n%len(f.core)].name, said)
+			}
+			return got
+		case got/100 == 4:
+			odd++
+		}
+		if time.Now().After(until) || f.ctx.Err() != nil {
+			f.book.note("a call of %d items was never acknowledged, the last answer was %d", len(items), got)
+			return 0
+		}
+		f.pause(pause)
+		pause = min(2*pause, pauseMost)
+	}
+}
+
+// call makes one call; 0: there was no answer.
+func (o *operator) call(method string, m *machine, text []byte, wait time.Duration) (status int, said []byte, from *machine) {
+	ctx, cancel := context.WithTimeout(o.f.world, wait)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+m.at(o.f.ports.control)+"/config", bytes.NewReader(text))
+	if err != nil {
+		panic(err) // we have composed it
+	}
+	r.Header.Set("Content-Type", "application/json")
+	answer, err := o.f.control.Do(r)
+	if err != nil {
+		return 0, nil, m
+	}
+	defer answer.Body.Close()
+	said, err = io.ReadAll(io.LimitReader(answer.Body, 64<<20))
+	if err != nil {
+		return 0, nil, m
+	}
+	return answer.StatusCode, said, m
+}
+
+// bring sends items under versions of their own, and keeps them in mind.
+func (o *operator) bring(items ...item) (status int) {
+	number := o.next()
+	for n := range items {
+		items[n] = stated(items[n], number)
+	}
+	o.mu.Lock()
+	for _, i := range items {
+		o.items[i.key()] = i
+	}
+	o.mu.Unlock()
+	return o.send(o.pick(len(o.f.core)), true, items...)
+}
+
+// readBack reads the configuration from each control node, as the operator does when the day ends.
+func (o *operator) readBack() {
+	var all sync.WaitGroup
+	for _, m := range o.f.core {
+		all.Go(func() {
+			until := time.Now().Add(readMost)
+			for pause := pauseFirst; ; pause = min(2*pause, pauseMost) {
+				began := o.f.now()
+				if status, text, _ := o.call(http.MethodGet, m, nil, 2*callMost); status == 200 {
+					items, err := readItems(text)
+					if err != nil {
+						o.f.book.note("%s: GET /config cannot be read: %v", m.name, err)
+						return
+					}
+					o.f.book.read(rules.Read{Machine: m.name, At: began, Items: items})
+					return
+				}
+				if time.Now().After(until) {
+					o.f.book.note("%s: GET /config has no answer", m.name)
+					return
+				}
+				o.f.pause(pause)
+			}
+		})
+	}
+	all.Wait()
+}
+
+// readItems reads the answer to GET /config.
+func readItems(text []byte) (map[string]any, error) {
+	var whole map[string]any
+	if err := json.Unmarshal(text, &whole); err != nil {
+		return nil, err
+	}
+	items := map[string]any{}
+	for section, v := range whole {
+		if section == "limits" {
+			items["limits/"] = v
+			continue
+		}
+		named, ok := v.(map[string]any)
+		if !ok {
+			return nil, fmt.Errorf("%s is no table", section)
+		}
+		for name, one := range named {
+			items[section+"/"+name] = one
+		}
+	}
+	return items, nil
+}
--- /dev/null
+++ b/internal/testboard/slopes/fit.go
@@ -0,0 +1,157 @@
+// Package slopes measures what the roles of the system cost by the size of what they know: live heap in bytes, processor time of this
+// process in seconds, bytes on the wire. Each measurement is taken at several sizes, a line is laid through all but one of them,
+// and the one that was held back is predicted.
+package slopes
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"math"
+
+	"github.com/pkg/errors"
+)
+
+// Point is what was measured at one size.
+type Point struct {
+	N     float64 `json:"n"`
+	Y     float64 `json:"y"`               // in the unit of the series
+	Alloc float64 `json:"alloc,omitempty"` // bytes allocated by one operation, where the unit is seconds
+}
+
+// Series is one cost by one size, and the line through it: Y = A + B*N, or A + B*log2(N) where Log is set.
+type Series struct {
+	Name      string     `json:"name"`
+	What      string     `json:"what"`
+	Unit      string     `json:"unit"` // "B" or "s"
+	Of        string     `json:"of"`   // what N counts
+	Log       bool       `json:"log,omitempty"`
+	Points    []Point    `json:"points"` // those of the fit
+	Held      Point      `json:"held"`   // held back from it
+	A         float64    `json:"a"`
+	B         float64    `json:"b"`
+	Alloc     [2]float64 `json:"alloc,omitempty"` // the line of the bytes allocated, in N or log2(N) as the other
+	Residuals []float64  `json:"residuals"`       // of the points, each as a share of what was measured
+	Predicted float64    `json:"predicted"`       // at Held.N
+	Off       float64    `json:"off"`             // of Predicted, as a share of Held.Y
+}
+
+// x is a size as the line takes it.
+func (s *Series) x(n float64) float64 {
+	if s.Log {
+		return math.Log2(max(1, n))
+	}
+	return n
+}
+
+// At is the cost at a size, by the line, and the bytes allocated. Neither is below 0.
+func (s *Series) At(n float64) (cost, alloc float64) {
+	x := s.x(n)
+	return max(0, s.A+s.B*x), max(0, s.Alloc[0]+s.Alloc[1]*x)
+}
+
+// Fit lays the line through the points and predicts the one held back. The sizes span orders of magnitude, so what is made least
+// is the sum of squares of the errors as shares of what was measured: else the largest size alone would decide. Errors name what
+// lacks: there must be three points at two sizes or more, and all that was measured must be finite and above 0.
+func (s *Series) Fit() error {
+	if len(s.Points) < 3 {
+		return errors.Errorf("%s: %d points, three are needed", s.Name, len(s.Points))
+	}
+	for _, p := range append(s.Points[:len(s.Points):len(s.Points)], s.Held) {
+		if !(p.Y > 0) || math.IsInf(p.Y, 0) || !(p.N > 0) || math.IsInf(p.N, 0) {
+			return errors.Errorf("%s: %g at %g is no measurement", s.Name, p.Y, p.N)
+		}
+	}
+	var ok bool
+	if s.A, s.B, ok = s.line(func(p Point) float64 { return p.Y }); !ok {
+		return errors.Errorf("%s: all points are at one size", s.Name)
+	}
+	a, b, _ := s.line(func(p Point) float64 { return p.Alloc })
+	s.Alloc = [2]float64{a, b}
+	s.Residuals = s.Residuals[:0]
+	for _, p := range s.Points {
+		s.Residuals = append(s.Residuals, (p.Y-s.A-s.B*s.x(p.N))/p.Y)
+	}
+	s.Predicted = s.A + s.B*s.x(s.Held.N)
+	s.Off = s.Predicted/s.Held.Y - 1
+	return nil
+}
+
+// line is the least squares line through one of the figures of the points, each weighed by the inverse square of its cost.
+func (s *Series) line(of func(Point) float64) (a, b float64, ok bool) {
+	var w, wx, wy, wxx, wxy float64
+	for _, p := range s.Points {
+		x, y, weight := s.x(p.N), of(p), 1/(p.Y*p.Y)
+		w, wx, wy, wxx, wxy = w+weight, wx+weight*x, wy+weight*y, wxx+weight*x*x, wxy+weight*x*y
+	}
+	det := w*wxx - wx*wx
+	if !(det > 1e-12*w*wxx) {
+		return 0, 0, false
+	}
+	b = (w*wxy - wx*wy) / det
+	return (wy - b*wx) / w, b, true
+}
+
+// Worst is the largest residual, without its sign.
+func (s *Series) Worst() (worst float64) {
+	for _, r := range s.Residuals {
+		worst = max(worst, math.Abs(r))
+	}
+	return worst
+}
+
+// Run is where and when slopes were measured.
+type Run struct {
+	Date      string   `json:"date"`
+	Go        string   `json:"go"`
+	Processor string   `json:"processor"`
+	Cores     int      `json:"cores"`
+	Command   string   `json:"command"`
+	Series    []Series `json:"-"`
+}
+
+// Series returns the series of a name; nil where there is none.
+func (r *Run) Find(name string) *Series {
+	for i := range r.Series {
+		if r.Series[i].Name == name {
+			return &r.Series[i]
+		}
+	}
+	return nil
+}
+
+// Write writes a run as lines of JSON: the run first, then a line for each series.
+func (r *Run) Write(w io.Writer) error {
+	b := bufio.NewWriter(w)
+	e := json.NewEncoder(b)
+	if err := e.Encode(r); err != nil {
+		return errors.Wrap(err, "write the run")
+	}
+	for i := range r.Series {
+		if err := e.Encode(&r.Series[i]); err != nil {
+			return errors.Wrap(err, r.Series[i].Name)
+		}
+	}
+	return errors.Wrap(b.Flush(), "write the slopes")
+}
+
+// Read reads what Write wrote, and lays the lines anew.
+func Read(from io.Reader) (*Run, error) {
+	d := json.NewDecoder(from)
+	var r Run
+	if err := d.Decode(&r); err != nil {
+		return nil, errors.Wrap(err, "no run of slopes")
+	}
+	for {
+		var s Series
+		if err := d.Decode(&s); err == io.EOF {
+			return &r, nil
+		} else if err != nil {
+			return nil, errors.Wrapf(err, "slope %d", len(r.Series)+1)
+		}
+		if err := s.Fit(); err != nil {
+			return nil, err
+		}
+		r.Series = append(r.Series, s)
+	}
+}
--- /dev/null
+++ b/internal/testboard/slopes/gateway.go
@@ -0,0 +1,145 @@
+package slopes
+
+import (
+	"fmt"
+	"math"
+	"runtime"
+	"runtime/debug"
+
+	"mulleinrouter/passhub"
+)
+
+// ingressesMost is the number of ingresses that a gateway here is one of.
+const ingressesMost = 3300
+
+// gate is a gateway of the proxy as switchboard sets it up, with a clock that only moves as told.
+type gate struct {
+	g     *passhub.Gateway
+	now   float64
+	id    uint64
+	class *passhub.Class
+	terms []*passhub.Terms
+	acts  int
+}
+
+// newGate is a gateway before so many servers, in groups of so many, that has met so many tenants.
+func newGate(servers, group, tenants, doors int) *gate {
+	x := &gate{class: &passhub.Class{Name: "r", Aim: 0.4, Deadline: 1, Worth: 1, LateWorth: 0.5, Attempts: 2, Hold: 0.088, Effect: passhub.Safe}}
+	x.g = passhub.New(passhub.Settings{Balancers: ingressesMost, Me: 1, Zone: "region-hall-1", AnswerSlack: 0.02, ColdShare: 0.5, WarmUp: 3, MaxAttempts: 2,
+		MayCancel: true, MayRetryAfter: true, MaxRetryAfter: 0.5, ConnectTimeout: 0.25, Keepalive: 8, MayCount: true, CountWait: 0.35, Slots: true,
+		Afar: 1.25, Pairs: true, Cycle: 1, RetryShare: 0.16, RetrySlack: 48}, 1)
+	x.g.Handle(0, passhub.Start{})
+	list := make([]passhub.Backend, servers)
+	for i := range list {
+		s := server(i, 1)
+		list[i] = passhub.Backend{ID: s.ID, Group: fmt.Sprint("g", i/group), Kind: "k", Zone: s.Zone, Serving: true, Size: 3}
+	}
+	x.g.Handle(0, passhub.Backends{List: list})
+	x.now = 20
+	for i := range tenants {
+		x.terms = append(x.terms, &passhub.Terms{Customer: tenantName(i), Tag: "7", Plan: passhub.Plan{Name: tenantName(i), Rate: float64(10 + i%90), Burst: 50, Price: 1}})
+		x.request(i, "g0", doors)
+	}
+	return x
+}
+
+// request has the gateway decide a request of a tenant, answers its call of the counter if it makes one, and ends its attempt.
+func (x *gate) request(tenant int, group string, doors int) {
+	x.id++
+	r := passhub.Request{ID: x.id, Class: "r", Kind: x.class, Group: group, Left: 0.9, Units: 1, Doors: doors}
+	if len(x.terms) > 0 {
+		t := x.terms[tenant%len(x.terms)]
+		r.Customer, r.Terms = t.Customer, t
+	}
+	x.follow(x.g.Handle(x.now, r))
+}
+
+func (x *gate) follow(actions []passhub.Action) {
+	x.acts += len(actions)
+	for _, a := range actions {
+		switch a := a.(type) {
+		case passhub.Count:
+			x.follow(x.g.Handle(x.now, passhub.Counted{Name: a.Name, Outcome: passhub.Done, Total: max(1, a.Add), Holders: 2}))
+		case passhub.Send:
+			x.follow(x.g.Handle(x.now, passhub.AttemptEnded{ID: a.ID, Attempt: 1, Backend: a.Backend, Outcome: passhub.Done, Took: 0.01}))
+		}
+	}
+}
+
+func (x *gate) tick() {
+	x.now += 0.05
+	x.follow(x.g.Handle(x.now, passhub.Timer{Token: "tick"}))
+}
+
+// gateways are the proxy's decisions. Requests come at the pace of one ingress of the size to design for; ticks are not counted
+// with them.
+func gateways(m *meter) {
+	m.memory(Series{Name: "gateway.server", What: "live heap of a Gateway by the servers it knows, in groups of 20", Of: "servers"}, nil,
+		func(_ any, n int) any { return newGate(n, perService, 0, 1) }, 500, 2000, 8000, 20000, 50000)
+	m.memory(Series{Name: "gateway.tenant", What: "live heap of a Gateway by the tenants that asked within the minute, terms with it", Of: "tenants"}, nil,
+		func(_ any, n int) any { return newGate(20, perService, n, ingressesMost) }, 500, 2000, 8000, 20000, 50000)
+	m.requests(Series{Name: "request.servers", What: "one request decided and ended, 400 a second to one group", Of: "servers of the group"}, func(n int) *gate {
+		return newGate(n, n, 100, 1)
+	}, 20, 100, 300, 1000, 2000)
+	m.requests(Series{Name: "request.tenants", What: "one request decided and ended, its counter asked and told", Of: "tenants", Log: true}, func(n int) *gate {
+		return newGate(20, perService, n, ingressesMost)
+	}, 2000, 5000, 10000, 25000, 60000)
+	m.cpu(Series{Name: "tick.servers", What: "one tick of a Gateway (20 a second), no request", Of: "servers"}, 50, func(n int) func(int) {
+		x := newGate(n, perService, 0, 1)
+		return func(int) { x.tick() }
+	}, 2000, 8000, 20000, 50000, 200000)
+	m.cpu(Series{Name: "tick.thin", What: "one tick of a Gateway, tenants whose requests are reports of their own", Of: "tenants"}, 20, func(n int) func(int) {
+		x := newGate(20, perService, n, ingressesMost)
+		return func(int) { x.tick() }
+	}, 500, 2000, 8000, 20000, 50000)
+	m.cpu(Series{Name: "tick.sliced", What: "one tick of a Gateway, tenants that report and read each second, the codec and the way not counted", Of: "tenants"}, 20,
+		func(n int) func(int) {
+			x := newGate(20, perService, n, 2)
+			return func(int) { x.tick() }
+		}, 500, 2000, 8000, 20000, 50000)
+}
+
+// requests measures the processor time of a request. Twenty are decided between two ticks, which are not counted.
+func (m *meter) requests(s Series, make func(n int) *gate, sizes ...int) {
+	const block, warm, blocks = 20, 100, 100
+	s.Unit = "s"
+	var points []Point
+	for _, n := range m.sizes(sizes...) {
+		x := make(n)
+		doors, tenant := 1, 0
+		if s.Of == "tenants" {
+			doors = ingressesMost
+		}
+		run := func() {
+			for range block {
+				tenant += 7919
+				x.request(tenant, "g0", doors)
+			}
+		}
+		for range warm {
+			x.tick()
+			run()
+		}
+		least, alloc := math.Inf(1), math.Inf(1)
+		for range repeats {
+			runtime.GC()
+			gc := debug.SetGCPercent(-1)
+			sum, bytes := 0.0, 0.0
+			var before, after runtime.MemStats
+			for range blocks {
+				x.tick()
+				at := used()
+				run()
+				sum += used() - at
+			}
+			runtime.ReadMemStats(&before)
+			run()
+			runtime.ReadMemStats(&after)
+			bytes = float64(after.TotalAlloc - before.TotalAlloc)
+			debug.SetGCPercent(gc)
+			least, alloc = min(least, sum/(block*blocks)), min(alloc, bytes/block)
+		}
+		points = append(points, Point{N: float64(n), Y: least, Alloc: alloc})
+	}
+	m.add(s, points)
+}
--- /dev/null
+++ b/internal/testboard/slopes/office.go
@@ -0,0 +1,418 @@
+package slopes
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"runtime"
+	"slices"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/go-kit/log"
+
+	"mulleinrouter/internal/office/directory"
+	"mulleinrouter/internal/office/feed"
+	"mulleinrouter/internal/office/lines"
+	"mulleinrouter/internal/office/tally"
+	"mulleinrouter/internal/office/trunk"
+	"mulleinrouter/internal/tandem/ballot"
+	"mulleinrouter/internal/tandem/vault"
+)
+
+// namedBy is how many services routes are spread over where the number of routes is what grows.
+const namedBy = 1000
+
+// kinds are the kinds of items that there are many of, with what makes so many of them.
+var kinds = []struct {
+	name  string
+	base  func() *directory.Book // needed beside them
+	items func(n int) []directory.Item
+}{
+	{"route", func() *directory.Book { return merged(services(namedBy)) }, func(n int) []directory.Item { return routes(n, namedBy) }},
+	{"tenant", func() *directory.Book { return nil }, tenants},
+	{"service", func() *directory.Book { return nil }, services},
+}
+
+// memories are the live heaps of what a process knows.
+func memories(m *meter) {
+	for _, k := range kinds {
+		sizes := []int{2000, 8000, 24000, 60000, 150000}
+		m.memory(Series{Name: "book." + k.name, What: "live heap of a Book by its " + k.name + "s", Of: k.name + "s"},
+			func(int) any { return k.base() },
+			func(base any, n int) any { b, _ := base.(*directory.Book).Merge(k.items(n)); return b }, sizes...)
+		if k.name != "route" { // a table finds routes in the book itself
+			m.memory(Series{Name: "table." + k.name, What: "live heap of a Table beside its Book", Of: k.name + "s"},
+				func(n int) any { return merged(k.items(n)) },
+				func(base any, n int) any {
+					b := base.(*directory.Book)
+					return directory.NewTable().With(b, slices.Collect(b.All()))
+				}, sizes...)
+		}
+		m.memory(Series{Name: "store." + k.name, What: "live heap of a feed.Store, its Book with it", Of: k.name + "s"}, nil,
+			func(_ any, n int) any {
+				s := feed.NewStore(1)
+				s.MergeItems(k.items(n))
+				return s
+			}, sizes...)
+	}
+	m.memory(Series{Name: "store.tombstone", What: "live heap of a feed.Store by dropped tenants", Of: "dropped items"}, nil,
+		func(_ any, n int) any {
+			s := feed.NewStore(1)
+			s.MergeItems(many(n, func(i int) directory.Item {
+				return directory.Item{Key: directory.Key{Kind: directory.Tenants, Name: tenantName(i)}, Version: 2, Dropped: true, Epoch: 1}
+			}))
+			return s
+		}, 2000, 8000, 24000, 60000, 150000)
+	m.memory(Series{Name: "store.line", What: "live heap of a feed.Store by its lines", Of: "servers"}, nil,
+		func(_ any, n int) any {
+			s := feed.NewStore(1)
+			s.MergeLines(servers(n))
+			return s
+		}, 2000, 8000, 24000, 60000, 200000)
+	m.memory(Series{Name: "registry.line", What: "live heap of a lines.Registry, beside the strings of its lines", Of: "servers"},
+		func(n int) any { return servers(n) },
+		func(base any, n int) any {
+			r := lines.New(1.5)
+			for _, l := range base.([]lines.Line) {
+				r.Beat(1, l)
+			}
+			return r
+		}, 2000, 8000, 24000, 60000, 200000)
+	m.memory(Series{Name: "tally.name", What: "live heap of a tally.Keeper, one holder a tenant, each call a report of its own", Of: "tenants"}, nil,
+		func(_ any, n int) any { return kept(n, 1, true) }, 1000, 4000, 16000, 50000, 100000)
+	m.memory(Series{Name: "tally.holder", What: "live heap of a tally.Keeper by the holders of one tenant, reports by cycle", Of: "holders"}, nil,
+		func(_ any, n int) any { return kept(10, n/10, false) }, 1000, 3000, 10000, 20000, 33000)
+	m.memory(Series{Name: "tally.holder.each", What: "the same, each call a report of its own", Of: "holders"}, nil,
+		func(_ any, n int) any { return kept(10, n/10, true) }, 1000, 3000, 10000, 20000, 33000)
+}
+
+// kept is a keeper that is sure of its names, with so many holders of each.
+func kept(names, holders int, one bool) *tally.Keeper {
+	k := tally.New()
+	k.Duty(0, []string{"a"}, "a", true)
+	for t := range names {
+		for h := range holders {
+			k.Add(3, tenantName(t), 3, holder(h), 1, false, one, 1, 3)
+		}
+	}
+	return k
+}
+
+func holder(n int) string { return fmt.Sprintf("edge-muscat-hall-%d", n) }
+
+// changes are the processor time of one change, and of one look-up.
+func changes(m *meter) {
+	sizes := []int{10000, 20000, 50000, 120000, 300000} // smaller ones lie in the processor's caches, and are of another line
+	routed, held := once(func(n int) *directory.Book { return merged(services(namedBy), routes(n, namedBy)) }),
+		once(func(n int) *directory.Book { return merged(tenants(n)) })
+	tabled := once(func(n int) *directory.Table { return directory.NewTable().With(held(n), slices.Collect(held(n).All())) })
+	const ops = 400
+	// Each change is made beforehand, and is of another item far from the one before.
+	next := func(n int, one func(i, version int) directory.Item) [][]directory.Item {
+		return many(repeats*ops+1, func(i int) []directory.Item { return []directory.Item{one(i*7919%n, i+2)} })
+	}
+	m.cpu(Series{Name: "change.check", What: "Check of one route's change", Of: "routes", Log: true}, ops, func(n int) func(int) {
+		b, news := routed(n), next(n, func(i, version int) directory.Item { return route(i, namedBy, version) })
+		return func(i int) { b.Check(news[i]) }
+	}, sizes...)
+	m.cpu(Series{Name: "change.merge", What: "Merge of one tenant's change", Of: "tenants", Log: true}, ops, func(n int) func(int) {
+		b, news := held(n), next(n, tenant)
+		return func(i int) { b, _ = b.Merge(news[i]) }
+	}, sizes...)
+	m.cpu(Series{Name: "change.with", What: "With of a Table for one tenant's change", Of: "tenants", Log: true}, ops, func(n int) func(int) {
+		b, t, news := held(n), tabled(n), next(n, tenant)
+		return func(i int) { t = t.With(b, news[i]) }
+	}, sizes...)
+	m.cpu(Series{Name: "change.store", What: "MergeItems of a Store for one tenant's change, and Since for a subscriber", Of: "tenants", Log: true}, ops,
+		func(n int) func(int) {
+			s, news := feed.NewStore(1), next(n, tenant)
+			s.MergeItems(tenants(n))
+			return func(i int) {
+				s.MergeItems(news[i])
+				s.Since(s.Seq()-1, 64<<10)
+			}
+		}, sizes...)
+	m.cpu(Series{Name: "change.line", What: "MergeLines of a Store for one line's change, and Since for a subscriber", Of: "servers", Log: true}, ops,
+		func(n int) func(int) {
+			s := feed.NewStore(1)
+			s.MergeLines(servers(n))
+			news := many(repeats*ops+1, func(i int) []lines.Line {
+				l := server(i*7919%n, uint64(i)+2)
+				l.Phase = lines.Draining
+				return []lines.Line{l}
+			})
+			return func(i int) {
+				s.MergeLines(news[i])
+				s.Since(s.Seq()-1, 64<<10)
+			}
+		}, sizes...)
+	m.cpu(Series{Name: "lookup.route", What: "Table.Route, routes spread over hosts of three", Of: "routes", Log: true}, 100_000, func(n int) func(int) {
+		t := directory.NewTable().With(routed(n), nil) // it finds routes in the book
+		return asked(n, func(i int) [2]string { return [2]string{host(i), prefix(i) + "2f"} }, func(q [2]string) { t.Route(q[0], q[1]) })
+	}, sizes...)
+	m.cpu(Series{Name: "lookup.tenant", What: "Table.Tenant by key", Of: "tenants", Log: true}, 100_000, func(n int) func(int) {
+		t := tabled(n)
+		return asked(n, tenantKey, func(key string) { t.Tenant(key) })
+	}, sizes...)
+}
+
+// once is a maker that makes each size once: several series measure upon the same thing, which is immutable.
+func once[T any](build func(n int) T) func(n int) T {
+	made := map[int]T{}
+	return func(n int) T {
+		if _, ok := made[n]; !ok {
+			made[n] = build(n)
+		}
+		return made[n]
+	}
+}
+
+// asked is an operation that asks for one thing after the other, in an order that no cache knows. Making the questions is not counted.
+func asked[Q any](n int, question func(i int) Q, ask func(Q)) func(int) {
+	questions := many(min(n, 1<<16), func(i int) Q { return question(i * 7919 % n) })
+	return func(i int) { ask(questions[i%len(questions)]) }
+}
+
+// newcomers are what it costs to get all there is.
+func newcomers(m *meter) {
+	sizes := []int{1000, 4000, 16000, 40000, 100000}
+	m.cpu(Series{Name: "newcomer.source", What: "Since and encoding of all items for a newcomer, in frames of 64 KB", Of: "tenants"}, 1, func(n int) func(int) {
+		s := feed.NewStore(1)
+		s.MergeItems(tenants(n))
+		return func(int) { snapshot(s, func([]byte) {}) }
+	}, sizes...)
+	m.cpu(Series{Name: "newcomer.take", What: "decoding and merging of all items by the newcomer", Of: "tenants"}, 1, func(n int) func(int) {
+		s := feed.NewStore(1)
+		s.MergeItems(tenants(n))
+		var all []byte
+		snapshot(s, func(b []byte) { all = append(all, b...) })
+		return func(int) {
+			to := feed.NewStore(2)
+			for r := bufio.NewReader(bytes.NewReader(all)); ; {
+				f, err := trunk.Read(r, trunk.MaxFrame)
+				if err != nil {
+					return
+				}
+				to.MergeItems(f.Feed.Items)
+			}
+		}
+	}, sizes...)
+	m.cpu(Series{Name: "patch.read", What: "ReadPatch and Check of an operator's first call", Of: "tenants"}, 1, func(n int) func(int) {
+		body := append([]byte(`{"upsert":`), append(merged(tenants(n)).Render(), `,"remove":{}}`...)...)
+		return func(int) {
+			items, _ := directory.ReadPatch(body)
+			(*directory.Book)(nil).Check(items)
+		}
+	}, sizes...)
+	m.cpu(Series{Name: "render", What: "Render of a Book for GET /config", Of: "tenants"}, 1, func(n int) func(int) {
+		b := merged(tenants(n))
+		return func(int) { b.Render() }
+	}, sizes...)
+}
+
+func snapshot(s *feed.Store, frame func([]byte)) {
+	var b []byte
+	for seq, whole := uint64(0), false; !whole; {
+		f := &trunk.Feed{Life: 1 << 60}
+		f.Items, f.Lines, seq, whole = s.Since(seq, 64<<10)
+		f.Seq = seq
+		b, _ = trunk.Append(b[:0], &trunk.Frame{Feed: f})
+		frame(b)
+	}
+}
+
+// news is a feed with so many items, lines or beats.
+func news(n int, add func(f *trunk.Feed, i int)) *trunk.Frame {
+	f := &trunk.Feed{Life: 1 << 60, Seq: 1 << 30, Whole: true, Members: 3300, Clock: 86400.123456, Epoch: 1 << 20, Ready: true, Quorum: true}
+	for i := range n {
+		add(f, i)
+	}
+	return &trunk.Frame{Feed: f}
+}
+
+// words are the frames, in bytes and in the time to write and to read them.
+func words(m *meter) {
+	for _, w := range []struct {
+		name, what, of string
+		frame          func(n int) []*trunk.Frame
+	}{
+		{"tenant", "a feed with n tenants; a: a heartbeat", "tenants", func(n int) []*trunk.Frame {
+			return []*trunk.Frame{news(n, func(f *trunk.Feed, i int) { f.Items = append(f.Items, tenant(i, 7)) })}
+		}},
+		{"route", "a feed with n routes", "routes", func(n int) []*trunk.Frame {
+			return []*trunk.Frame{news(n, func(f *trunk.Feed, i int) { f.Items = append(f.Items, route(i, namedBy, 7)) })}
+		}},
+		{"service", "a feed with n services", "services", func(n int) []*trunk.Frame {
+			return []*trunk.Frame{news(n, func(f *trunk.Feed, i int) { f.Items = append(f.Items, service(i, 7)) })}
+		}},
+		{"line", "a feed with n lines", "servers", func(n int) []*trunk.Frame {
+			return []*trunk.Frame{news(n, func(f *trunk.Feed, i int) { f.Lines = append(f.Lines, server(i, 7)) })}
+		}},
+		{"heard", "a feed with n beats heard, between control nodes", "beats", func(n int) []*trunk.Frame {
+			return []*trunk.Frame{news(n, func(f *trunk.Feed, i int) {
+				f.Heard = append(f.Heard, trunk.Heard{ID: server(i, 1).ID, Seq: 50_000})
+			})}
+		}},
+		{"beat", "n heartbeats of a source", "heartbeats", func(n int) []*trunk.Frame {
+			return many(n, func(int) *trunk.Frame { return news(0, nil) })
+		}},
+		{"renew", "n renewals of a lease", "renewals", func(n int) []*trunk.Frame {
+			return many(n, func(int) *trunk.Frame { return &trunk.Frame{Renew: &trunk.Renew{Clock: 86400.123456, Ready: true}} })
+		}},
+		{"count", "n pairs of Add and Total", "calls", func(n int) []*trunk.Frame {
+			return many(2*n, func(i int) *trunk.Frame {
+				if i%2 == 1 {
+					return &trunk.Frame{Call: uint64(1e6 + i), Total: &trunk.Total{OK: true, Sum: 87.125, Holders: 40}}
+				}
+				return &trunk.Frame{Call: uint64(1e6 + i), Add: &trunk.Add{Name: tenantName(i), Cycle: 86400, Holder: holder(i%3300) + "#1z141z4",
+					Amount: 1, Keep: 3, One: true, Serial: uint64(1e6 + i)}}
+			})
+		}},
+	} {
+		m.bytes(Series{Name: "wire." + w.name, What: "bytes of " + w.what, Of: w.of}, func(n int) int { return len(encoded(w.frame(n))) },
+			1, 4, 16, 64, 256)
+		m.cpu(Series{Name: "write." + w.name, What: "encoding " + w.what, Of: w.of}, 200, func(n int) func(int) {
+			frames, b := w.frame(n), []byte(nil)
+			return func(int) {
+				b = b[:0]
+				for _, f := range frames {
+					b, _ = trunk.Append(b, f)
+				}
+			}
+		}, 10, 40, 80, 160, 300)
+		m.cpu(Series{Name: "read." + w.name, What: "decoding " + w.what, Of: w.of}, 200, func(n int) func(int) {
+			b := encoded(w.frame(n))
+			return func(int) {
+				for r := bufio.NewReader(bytes.NewReader(b)); ; {
+					if _, err := trunk.Read(r, trunk.MaxFrame); err != nil {
+						return
+					}
+				}
+			}
+		}, 10, 40, 80, 160, 300)
+	}
+}
+
+func encoded(frames []*trunk.Frame) (b []byte) {
+	for _, f := range frames {
+		b, _ = trunk.Append(b, f)
+	}
+	return b
+}
+
+// counters are the control node's own work: beats, and adds to counters.
+func counters(m *meter) {
+	sizes := []int{10000, 20000, 50000, 100000, 200000} // as with changes
+	m.cpu(Series{Name: "registry.beat", What: "Beat of a Registry, the call that says the same again", Of: "servers", Log: true}, 20_000, func(n int) func(int) {
+		r, ls := known(n)
+		return func(i int) {
+			l := ls[i*7919%n]
+			l.Seq = uint64(i) + 2
+			r.Beat(1+float64(i)*1e-6, l)
+		}
+	}, sizes...)
+	m.cpu(Series{Name: "registry.heard", What: "Heard of a Registry, a beat that another node heard", Of: "servers", Log: true}, 20_000, func(n int) func(int) {
+		r, ls := known(n)
+		return func(i int) { r.Heard(1+float64(i)*1e-6, ls[i*7919%n].ID, uint64(i)+2) }
+	}, sizes...)
+	m.cpu(Series{Name: "tally.add", What: "Add of a Keeper, a call that is a report of its own, and its answer", Of: "tenants", Log: true}, 20_000,
+		func(n int) func(int) {
+			k, names := kept(n, 1, true), many(n, tenantName)
+			return func(i int) { k.Add(3, names[i*7919%n], 3, holder0, 1, false, true, uint64(i)+2, 3) }
+		}, 8000, 16000, 32000, 64000, 120000)
+	m.cpu(Series{Name: "tally.total", What: "first read of a cycle by a Keeper, which goes through all holders of the tenant", Of: "holders"}, 50,
+		func(n int) func(int) {
+			k := kept(1, n, false)
+			return func(i int) { k.Add(3, tenantName(0), int64(3+i), "", 0, true, false, 0, 3) }
+		}, 30, 100, 300, 1000, 3300)
+	m.cpu(Series{Name: "tally.owner", What: "Owner of a name, by rendezvous over the living control nodes", Of: "control nodes"}, 20_000, func(n int) func(int) {
+		living := many(n, func(i int) string { return fmt.Sprintf("10.0.%d.1:7560", i) })
+		return func(i int) { tally.Owner("tenant-7", living) }
+	}, 3, 6, 12, 24, 36)
+}
+
+var holder0 = holder(0)
+
+func known(n int) (*lines.Registry, []lines.Line) {
+	r, ls := lines.New(1.5), servers(n)
+	for _, l := range ls {
+		r.Beat(1, l)
+	}
+	return r, ls
+}
+
+// choices are the processor time of a change's agreement, without the network and with a disk in memory.
+func choices(m *meter) {
+	m.cpu(Series{Name: "ballot.change", What: "one change through a proposer and its voters in one process", Of: "voters"}, 500, func(n int) func(int) {
+		voters := many(n, func(i int) string { return fmt.Sprint("v", i) })
+		acceptors := map[string]*ballot.Acceptor{}
+		for _, v := range voters {
+			acceptors[v] = new(ballot.Acceptor)
+		}
+		p, epoch, items := ballot.NewProposer(voters[0], voters, 1), uint64(0), tenants(1)
+		return func(int) { epoch = chosen(p, voters, acceptors, epoch, items) }
+	}, 3, 5, 7, 9, 13)
+	m.cpu(Series{Name: "vault.save", What: "a batch in a Vault on a disk in memory, one sync", Of: "items"}, 100, func(n int) func(int) {
+		v, _, err := vault.Open(vfs.NewMem(), "data", log.NewNopLogger())
+		if err != nil {
+			if m.err == nil {
+				m.err = err
+			}
+			return func(int) {}
+		}
+		return func(i int) {
+			b := vault.Batch{Acceptor: &ballot.Acceptor{Epoch: uint64(i)}, Items: many(n, func(j int) directory.Item { return tenant(j, i+1) })}
+			_ = v.Save(context.Background(), b)
+		}
+	}, 1, 4, 16, 64, 256)
+}
+
+// chosen has one change chosen upon an epoch, and returns that of the whole then.
+func chosen(p *ballot.Proposer, voters []string, acceptors map[string]*ballot.Acceptor, epoch uint64, items []directory.Item) uint64 {
+	for a := p.Start(epoch, false); ; {
+		next := ballot.Action{}
+		switch a.Do {
+		case ballot.Prepare, ballot.Accept:
+			for _, v := range voters {
+				var came ballot.Action
+				if a.Do == ballot.Prepare {
+					promise, _ := acceptors[v].Prepare(a.Ballot)
+					came = p.Promised(a.Try, v, promise)
+				} else {
+					accepted, _ := acceptors[v].Accept(a.Proposal)
+					came = p.Accepted(a.Try, v, accepted)
+				}
+				if came.Do != ballot.None {
+					next = came
+				}
+			}
+		case ballot.Form:
+			next = p.Formed(a.Try, epoch, items)
+			items = nil // once is enough
+		case ballot.Apply:
+			epoch = a.Proposal.Epoch
+			for _, v := range voters {
+				acceptors[v].Learn(epoch)
+			}
+			next = p.Applied(a.Try, epoch)
+		default:
+			return epoch
+		}
+		a = next
+	}
+}
+
+// collections are what the collector costs by what lives.
+func collections(m *meter) {
+	s := Series{Name: "gc.cycle", What: "one collection of a heap of items", Unit: "s", Of: "bytes live"}
+	var points []Point
+	for _, n := range m.sizes(2000, 8000, 24000, 60000, 150000) {
+		st := feed.NewStore(1)
+		st.MergeItems(tenants(n))
+		size := live()
+		points = append(points, Point{N: size, Y: cost(1, func(int) { runtime.GC() }).Y})
+		runtime.KeepAlive(st)
+	}
+	m.add(s, points)
+}
