Keep the count of ingresses on disk: after a restart nobody takes a whole quota for its part

Cause: read in the trace of the restart: for 1.5 s the core told no count of ingresses, and a proxy that knows none took itself for the only one: eleven even starts of a whole quota each. Change: the last count is on disk, and holds until leases can have been renewed; a proxy that was told none counts on 24.

--- a/internal/switchboard/office.go
+++ b/internal/switchboard/office.go
@@ -15,10 +15,11 @@
 )
 
 const (
-	freshFor  = 1500 * time.Millisecond // without word of the control nodes: then what is not known here may well exist
-	doorsFor  = 20 * time.Second        // ingresses that went away may still hold slices: they are counted on for so long
-	callMost  = 350 * time.Millisecond  // for a call of the keeper of counters, by way of the agent
-	callsMost = 256                     // of these out at once; more would be late anyway
+	freshFor    = 1500 * time.Millisecond // without word of the control nodes: then what is not known here may well exist
+	doorsFor    = 20 * time.Second        // ingresses that went away may still hold slices: they are counted on for so long
+	doorsUntold = 24
+	callMost    = 350 * time.Millisecond // for a call of the keeper of counters, by way of the agent
+	callsMost   = 256                    // of these out at once; more would be late anyway
 )
 
 // office is what the proxy has from the agent beside it: the configuration, the servers, how many ingresses there are, and the keepers
@@ -81,8 +82,14 @@
 	}
 }
 
-// doors is through how many ingresses a tenant's requests may come.
-func (o *office) doors() int { return max(1, int(o.most.Load())) }
+// doors is through how many ingresses a tenant's requests may come. While nobody has told, they are taken for many: a part of a quota that is
+// too large cannot be taken back.
+func (o *office) doors() int {
+	if most := int(o.most.Load()); most > 0 {
+		return most
+	}
+	return doorsUntold
+}
 
 // fresh tells whether what is not known here is known nowhere, as far as can be.
 func (o *office) fresh() bool {
--- a/internal/tandem/node.go
+++ b/internal/tandem/node.go
@@ -87,6 +87,7 @@
 	warm      atomic.Bool   // the servers are known: its disk had them, or another node that has all has told them
 	stir      chan struct{} // something came that is not to wait for the next tick
 	members   atomic.Int64
+	before    atomic.Int64  // members, as the disk had them
 	inner     atomic.Int64  // connections
 	ended     chan struct{} // closed at the end
 	lame      time.Duration // from the end of the control calls to that of all else
@@ -227,6 +228,7 @@
 		bootstrap = n.settings.Seeds
 	}
 	n.voter.load(v, s, bootstrap)
+	n.before.Store(int64(s.Members))
 	n.vault.Store(v)
 	n.stirred()
 	voters, votes := n.voter.electorate()
@@ -447,12 +449,11 @@
 		if due := n.roll.judge(quorum); len(due) > 0 {
 			n.log.Log("msg", "lines judged", "count", len(due), "first", due[0].ID, "phase", due[0].Phase)
 		}
-		members := int64(0)
-		if time.Since(n.started) >= countFrom {
-			members = int64(n.leases.count(now))
-		}
-		if old := n.members.Swap(members); old != members {
+		if members := n.counted(now); n.members.Swap(members) != members {
 			n.log.Log("msg", "ingresses", "count", members)
+			if disk := n.vault.Load(); disk != nil && members > 0 {
+				disk.Put(vault.Batch{Members: int(members), Lazy: true})
+			}
 		}
 		n.keeper.Lock()
 		n.keeper.Duty(n.up(), living, n.config.InnerOf(n.self), quorum)
@@ -468,6 +469,19 @@
 	}
 }
 
+// counted is how many ingresses hold a lease. While they may not all have renewed it with a node that has just started, it is at least
+// as many as were counted before: parts of quotas that are too large cannot be taken back. 0: it is not known.
+func (n *Node) counted(now time.Time) int64 {
+	count := int64(n.leases.count(now))
+	switch up := now.Sub(n.started); {
+	case up < countFrom:
+		return n.before.Load()
+	case up < countFrom+2*leaseFor:
+		return max(count, n.before.Load())
+	}
+	return count
+}
+
 // stirred has watch look now.
 func (n *Node) stirred() {
 	select {
--- a/internal/tandem/vault/vault.go
+++ b/internal/tandem/vault/vault.go
@@ -20,7 +20,7 @@
 )
 
 // version of what is on disk. A folder of a later one is not opened.
-const version = 1
+const version = 2
 
 // Keys: one letter, then the name of what there are many of.
 var (
@@ -28,6 +28,7 @@
 	keyVoters   = []byte("m")
 	keyAcceptor = []byte("a")
 	keyPending  = []byte("p")
+	keyMembers  = []byte("n")
 )
 
 const (
@@ -63,6 +64,7 @@
 	Acceptor ballot.Acceptor
 	Items    []directory.Item // in order of their keys
 	Lines    []lines.Line
+	Members  int // ingresses, as last counted; 0: never
 }
 
 // Batch is what is saved at once: whole or not at all. What is nil stays as it was.
@@ -72,6 +74,7 @@
 	Items    []directory.Item // each in the place of another of its key
 	Lines    []lines.Line
 	Forget   []string // ids of lines
+	Members  int      // 0: as it was
 	Lazy     bool     // it may go without a sync: whatever is saved after it is never on disk without it
 }
 
@@ -193,6 +196,8 @@
 		case keyPending[0]:
 			s.Acceptor.Pending = new(ballot.Proposal)
 			err = reading.Unmarshal(b, s.Acceptor.Pending)
+		case keyMembers[0]:
+			err = reading.Unmarshal(b, &s.Members)
 		case keyItem:
 			var i directory.Item
 			err = reading.Unmarshal(b, &i)
@@ -315,6 +320,9 @@
 	for _, l := range b.Lines {
 		note(set(lineKey(l.ID), l))
 	}
+	if b.Members > 0 {
+		note(set(keyMembers, b.Members))
+	}
 	for _, id := range b.Forget {
 		note(to.Delete(lineKey(id), nil))
 	}
