--- a/cmd/linefinder/main.go
+++ b/cmd/linefinder/main.go
@@ -10,18 +10,12 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/go-kit/log"
-	"github.com/pkg/errors"
 
 	"mulleinrouter/internal/linefinder"
-	"mulleinrouter/internal/office/premises"
+	"mulleinrouter/internal/office/console"
 )
 
-// Exit codes.
-const (
-	failed  = 1
-	usage   = 2
-	badFile = 3
-)
+const name = "linefinder"
 
 type program struct {
 	Serve serve `cmd:"" default:"withargs" help:"Keep the link and feed the proxy (the default)."`
@@ -45,12 +39,9 @@
 	debug.SetGCPercent(50)
 	debug.SetMemoryLimit(heap)
 	runtime.GOMAXPROCS(1)
-	p, err := premises.Load(s.File)
-	if err == nil {
-		err = p.Need("linefinder")
-	}
+	p, err := console.Load(s.File, name)
 	if err != nil {
-		return unusable{err}
+		return err
 	}
 	return linefinder.Run(s.File, p, log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)))
 }
@@ -58,12 +49,9 @@
 type check struct{ settings }
 
 func (c *check) Run() error {
-	p, err := premises.Load(c.File)
-	if err == nil {
-		err = p.Need("linefinder")
-	}
+	p, err := console.Load(c.File, name)
 	if err != nil {
-		return unusable{err}
+		return err
 	}
 	fmt.Printf("node %s in %s, proxy at %s\n", p.Node, p.Zone, p.Loopback())
 	for _, s := range p.Seeds {
@@ -75,9 +63,9 @@
 type show struct{ settings }
 
 func (s *show) Run() error {
-	p, err := premises.Load(s.File)
+	p, err := console.Load(s.File, name)
 	if err != nil {
-		return unusable{err}
+		return err
 	}
 	r, err := linefinder.Ask(context.Background(), p.Loopback())
 	if err != nil {
@@ -88,53 +76,7 @@
 	return nil
 }
 
-// unusable marks an error as one of a file that cannot be used.
-type unusable struct{ error }
-
-func version() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "linefinder unknown"
-	}
-	revision, changed := "unknown", ""
-	for _, s := range info.Settings {
-		switch {
-		case s.Key == "vcs.revision":
-			revision = s.Value[:min(12, len(s.Value))]
-		case s.Key == "vcs.modified" && s.Value == "true":
-			changed = "+changes"
-		}
-	}
-	return fmt.Sprintf("linefinder %s%s, %s", revision, changed, info.GoVersion)
-}
-
 func main() {
-	// The platform's own call, on machines where memory is dear: reading a command line would cost half a megabyte for good.
-	if len(os.Args) == 2 && os.Args[1] == "serve" {
-		finish(new(serve).Run())
-	}
-	var p program
-	parser := kong.Must(&p, kong.Name("linefinder"),
-		kong.Description("The agent on an edge machine: it keeps the link to the control nodes and feeds the proxy beside it.\n\n"+
-			"Exit codes: 0 done, 1 failed, 2 wrong command line, 3 a settings file that cannot be used."),
-		kong.Vars{"version": version(), "variable": premises.Variable}, kong.UsageOnError())
-	called, err := parser.Parse(os.Args[1:])
-	if err != nil {
-		fmt.Fprintf(os.Stderr, "linefinder: %v\n", err)
-		os.Exit(usage)
-	}
-	finish(called.Run())
-}
-
-// finish ends the process with the exit code of an outcome.
-func finish(err error) {
-	if err == nil {
-		os.Exit(0)
-	}
-	fmt.Fprintf(os.Stderr, "linefinder: %v\n", err)
-	var file unusable
-	if errors.As(err, &file) {
-		os.Exit(badFile)
-	}
-	os.Exit(failed)
+	console.Main(name, "The agent on an edge machine: it keeps the link to the control nodes and feeds the proxy beside it.",
+		new(program), new(serve).Run)
 }
--- a/cmd/switchboard/main.go
+++ b/cmd/switchboard/main.go
@@ -15,40 +15,31 @@
 	"github.com/alecthomas/kong"
 	"github.com/go-kit/log"
 
+	"mulleinrouter/internal/office/console"
 	"mulleinrouter/internal/office/premises"
 	"mulleinrouter/internal/switchboard"
 )
 
-var call struct {
-	Serve struct {
-		Settings string `short:"c" type:"path" help:"Settings file; else the one that MULLEINROUTER_CONFIG names."`
-	} `cmd:"" default:"withargs" help:"Serve clients until SIGTERM."`
-	Check struct {
-		File string `arg:"" type:"path" help:"Settings file."`
-	} `cmd:"" help:"Say what is wrong with a settings file."`
+const name = "switchboard"
+
+type program struct {
+	Serve serve `cmd:"" default:"withargs" help:"Serve clients until SIGTERM (the default)."`
+	Check check `cmd:"" help:"Check a settings file, and say what is in it that matters here."`
+
+	Version kong.VersionFlag `help:"Say which version this is."`
 }
 
-func main() {
-	k := kong.Parse(&call, kong.Name("switchboard"), kong.Description("The proxy of an edge machine."))
-	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
-	path := call.Serve.Settings
-	if k.Selected().Name == "check" {
-		path = call.Check.File
-	}
-	p, err := premises.Load(path)
-	if err == nil {
-		err = p.Need("switchboard")
-	}
+type serve struct {
+	File string `short:"c" help:"Settings file. Default: the one that ${variable} names." placeholder:"FILE"`
+}
+
+func (s *serve) Run() error {
+	// Only one thread runs at a time on these machines.
+	runtime.GOMAXPROCS(1)
+	p, err := console.Load(s.File, name)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(3)
-	}
-	if k.Selected().Name == "check" {
-		fmt.Println("ok")
-		return
+		return err
 	}
-	runtime.GOMAXPROCS(1)
-	debug.SetGCPercent(100)
 	debug.SetMemoryLimit(int64(p.Limits.MemoryMB) << 20 * 6 / 10)
 	var life [8]byte
 	rand.Read(life[:])
@@ -56,9 +47,23 @@
 	defer stop()
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	watch := premises.NewWatcher(path, p)
-	if err := switchboard.New(watch, binary.LittleEndian.Uint64(life[:])|1, logger).Run(ctx, hup); err != nil {
-		logger.Log("part", "switchboard", "msg", "ended", "err", err)
-		os.Exit(1)
+	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
+	return switchboard.New(premises.NewWatcher(s.File, p), binary.LittleEndian.Uint64(life[:])|1, logger).Run(ctx, hup)
+}
+
+type check struct {
+	File string `arg:"" optional:"" help:"Settings file. Default: the one that ${variable} names."`
+}
+
+func (c *check) Run() error {
+	p, err := console.Load(c.File, name)
+	if err != nil {
+		return err
 	}
+	fmt.Printf("node %s in %s, clients at %s, readiness at %s, agent at %s\n", p.Node, p.Zone, p.Front, p.Ready, p.Loopback())
+	return nil
+}
+
+func main() {
+	console.Main(name, "The proxy of an edge machine: it serves clients, with what the agent beside it knows.", new(program), new(serve).Run)
 }
--- a/cmd/tandem/main.go
+++ b/cmd/tandem/main.go
@@ -12,19 +12,13 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
-	"github.com/cockroachdb/errors"
 	"github.com/go-kit/log"
 
-	"mulleinrouter/internal/office/premises"
+	"mulleinrouter/internal/office/console"
 	"mulleinrouter/internal/tandem"
 )
 
-// Exit codes.
-const (
-	failed  = 1
-	usage   = 2
-	badFile = 3
-)
+const name = "tandem"
 
 type program struct {
 	Serve serve `cmd:"" default:"withargs" help:"Serve as a control node (the default)."`
@@ -44,14 +38,14 @@
 	// Memory is dear on these machines, and only one thread runs at a time there.
 	debug.SetGCPercent(50)
 	runtime.GOMAXPROCS(1)
-	p, err := load(s.File)
+	p, err := console.Load(s.File, name)
 	if err != nil {
 		return err
 	}
 	debug.SetMemoryLimit(max(heap, int64(p.Limits.MemoryMB)<<20/2))
 	n, err := tandem.New(tandem.Config{Settings: p, Log: log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))})
 	if err != nil {
-		return unusable{err}
+		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -64,7 +58,7 @@
 }
 
 func (c *check) Run() error {
-	p, err := load(c.File)
+	p, err := console.Load(c.File, name)
 	if err != nil {
 		return err
 	}
@@ -75,63 +69,7 @@
 	return nil
 }
 
-func load(file string) (*premises.Premises, error) {
-	p, err := premises.Load(file)
-	if err == nil {
-		err = p.Need("tandem")
-	}
-	if err != nil {
-		return nil, unusable{err}
-	}
-	return p, nil
-}
-
-// unusable marks an error as one of a file that cannot be used.
-type unusable struct{ error }
-
-func version() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "tandem unknown"
-	}
-	revision, changed := "unknown", ""
-	for _, s := range info.Settings {
-		switch {
-		case s.Key == "vcs.revision":
-			revision = s.Value[:min(12, len(s.Value))]
-		case s.Key == "vcs.modified" && s.Value == "true":
-			changed = "+changes"
-		}
-	}
-	return fmt.Sprintf("tandem %s%s, %s", revision, changed, info.GoVersion)
-}
-
 func main() {
-	// The platform's own call, on machines where memory is dear: reading a command line would cost half a megabyte for good.
-	if len(os.Args) == 2 && os.Args[1] == "serve" {
-		finish(new(serve).Run())
-	}
-	var p program
-	parser := kong.Must(&p, kong.Name("tandem"),
-		kong.Description("The control node on a core machine: it takes the configuration and the beats of servers, and feeds the agents.\n\n"+
-			"Exit codes: 0 done, 1 failed, 2 wrong command line, 3 a settings file that cannot be used."),
-		kong.Vars{"version": version(), "variable": premises.Variable}, kong.UsageOnError())
-	called, err := parser.Parse(os.Args[1:])
-	if err != nil {
-		fmt.Fprintf(os.Stderr, "tandem: %v\n", err)
-		os.Exit(usage)
-	}
-	finish(called.Run())
-}
-
-// finish ends the process with the exit code of an outcome.
-func finish(err error) {
-	if err == nil {
-		os.Exit(0)
-	}
-	fmt.Fprintf(os.Stderr, "tandem: %v\n", err)
-	if file := (unusable{}); errors.As(err, &file) {
-		os.Exit(badFile)
-	}
-	os.Exit(failed)
+	console.Main(name, "The control node on a core machine: it takes the configuration and the beats of servers, and feeds the agents.",
+		new(program), new(serve).Run)
 }
--- /dev/null
+++ b/internal/office/console/console.go
@@ -0,0 +1,84 @@
+// Package console is the command line that the system's programs have in common: their exit codes, their version, and a settings file read
+// for a program.
+package console
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"github.com/alecthomas/kong"
+
+	"mulleinrouter/internal/office/premises"
+)
+
+// Exit codes.
+const (
+	failed  = 1
+	usage   = 2
+	badFile = 3
+)
+
+// unusable marks an error as one of a file that cannot be used.
+type unusable struct{ error }
+
+// Load reads a settings file for a program of that name; "": the one that premises.Variable names. Its errors end the program with exit code 3.
+func Load(file, program string) (*premises.Premises, error) {
+	p, err := premises.Load(file)
+	if err == nil {
+		err = p.Need(program)
+	}
+	if err != nil {
+		return nil, unusable{err}
+	}
+	return p, nil
+}
+
+// Main runs a program: its commands as kong reads them, each with a Run that returns an error, or serve at once where that is all that is
+// asked for. It does not return.
+func Main(name, about string, commands any, serve func() error) {
+	// The platform's own call, on machines where memory is dear: reading a command line would cost half a megabyte for good.
+	if len(os.Args) == 2 && os.Args[1] == "serve" {
+		finish(name, serve())
+	}
+	parser := kong.Must(commands, kong.Name(name),
+		kong.Description(about+"\n\nExit codes: 0 done, 1 failed, 2 wrong command line, 3 a settings file that cannot be used."),
+		kong.Vars{"version": version(name), "variable": premises.Variable}, kong.UsageOnError())
+	called, err := parser.Parse(os.Args[1:])
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
+		os.Exit(usage)
+	}
+	finish(name, called.Run())
+}
+
+// finish ends the process with the exit code of an outcome.
+func finish(name string, err error) {
+	if err == nil {
+		os.Exit(0)
+	}
+	fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
+	var file unusable
+	if errors.As(err, &file) {
+		os.Exit(badFile)
+	}
+	os.Exit(failed)
+}
+
+func version(name string) string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return name + " unknown"
+	}
+	revision, changed := "unknown", ""
+	for _, s := range info.Settings {
+		switch {
+		case s.Key == "vcs.revision":
+			revision = s.Value[:min(12, len(s.Value))]
+		case s.Key == "vcs.modified" && s.Value == "true":
+			changed = "+changes"
+		}
+	}
+	return fmt.Sprintf("%s %s%s, %s", name, revision, changed, info.GoVersion)
+}
--- a/internal/testboard/floor/machine.go
+++ b/internal/testboard/floor/machine.go
@@ -234,9 +234,6 @@
 	err := cmd.Wait()
 	p.mu.Lock()
 	p.running = false
-	if u, ok := cmd.ProcessState.SysUsage().(*syscall.Rusage); ok {
-		p.peak = max(p.peak, u.Maxrss*1024)
-	}
 	p.cpu += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
 	asked, hold := p.asked, p.hold
 	p.mu.Unlock()
@@ -274,6 +271,10 @@
 		return gone
 	}
 	if p.running {
+		if asked { // Rusage would tell the memory of this process here, from before the child's exec
+			_, peak := measured(p.cmd.Process.Pid)
+			p.peak = max(p.peak, peak)
+		}
 		p.asked = p.asked || asked
 		p.cmd.Process.Signal(s)
 	}
