--- a/internal/testboard/floor/book.go
+++ b/internal/testboard/floor/book.go
@@ -44,7 +44,7 @@
 	return func(at rules.Seconds) { b.do(func() { t.To = at }) }
 }
 
-// ownEnd notes that a process ended by itself. Within a second of trouble on its machine that is no fault of its own, and only told.
+// ownEnd notes that a process ended by itself. RULES bears that in some times of trouble; here it never passes.
 func (b *book) ownEnd(process string, at rules.Seconds, text string) {
 	b.do(func() { b.log.Stuck = append(b.log.Stuck, rules.Own{Process: process, At: at, Text: text}) })
 }
