Take out a view nobody asked for and a name made anew for each call

Cause: second reading of the change. Change: Board.View and two fields were never used; the name under which a process adds to counters was formatted for each call; a check that its case had made already; a comment on ingress.Dialect that said its zero value is in service. Behaviour as it was.

--- a/internal/ingress/request.go
+++ b/internal/ingress/request.go
@@ -40,7 +40,7 @@
 	RetryAfter passhub.Seconds // 0: no advice
 }
 
-// Dialect is what clients are answered in. The zero value is that of the deployments in service.
+// Dialect is what clients are answered in. New gives a server that of the deployments in service; Speak gives it another.
 type Dialect struct {
 	// Ready is the path of the readiness page.
 	Ready string
--- a/internal/switchboard/office.go
+++ b/internal/switchboard/office.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -27,13 +26,14 @@
 // office is what the proxy has from the agent beside it: the configuration, the servers, how many ingresses there are, and the keepers
 // of counters.
 type office struct {
-	log    log.Logger
-	node   string
-	life   uint64
-	store  *feed.Store
-	client *feed.Client
-	engine *engine.Engine
-	warmUp passhub.Seconds
+	log  log.Logger
+	node string
+	// process names this process where each of its calls adds anew: one that begins anew must not be taken for the one before it.
+	process string
+	store   *feed.Store
+	client  *feed.Client
+	engine  *engine.Engine
+	warmUp  passhub.Seconds
 
 	table       atomic.Pointer[directory.Table]
 	whole       atomic.Bool  // it has had a configuration whole from an agent that had it from the core
@@ -113,9 +113,6 @@
 	return o.whole.Load() && time.Since(o.base)-time.Duration(o.quorum.Load()) < freshFor
 }
 
-// holder names this process where each of its calls adds anew: one that begins anew must not be taken for the one before it.
-func (o *office) holder() string { return o.node + "#" + strconv.FormatUint(o.life, 36) }
-
 // allowed tells whether there is such a service.
 func (o *office) allowed(service string) bool { return o.table.Load().Service(service) != nil }
 
@@ -157,7 +154,7 @@
 	a := &trunk.Add{Name: c.Customer, Cycle: c.Cycle, Holder: o.node, Amount: c.Add, Read: c.Add == 0, Keep: c.Keep, One: c.Each}
 	if c.Each {
 		a.Serial = o.serial.Add(1)
-		a.Holder = o.holder()
+		a.Holder = o.process
 	}
 	go func() {
 		defer o.calls.Add(-1)
@@ -167,7 +164,7 @@
 			o.engine.CountedOf(c.Name, passhub.TimedOut, 0, 0)
 		case answer.Total == nil || !answer.Total.OK:
 			holders := 0
-			if err == nil && answer.Total != nil {
+			if answer.Total != nil {
 				holders = answer.Total.Holders // taken, by a keeper that is not sure of the others yet
 			}
 			o.engine.CountedOf(c.Name, passhub.Failed, 0, holders)
--- a/internal/switchboard/switchboard.go
+++ b/internal/switchboard/switchboard.go
@@ -11,7 +11,6 @@
 	"net"
 	"os"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/go-kit/log"
@@ -53,9 +52,6 @@
 	server *ingress.Server
 	front  net.Listener
 	page   net.Listener
-
-	cancel context.CancelFunc
-	ending sync.WaitGroup
 }
 
 // New returns a proxy for the settings that are watched. Life is a number that no other process of this machine has had.
@@ -66,7 +62,7 @@
 	me := h.Sum64()
 	b := &Board{p: p, watch: watch, log: log.With(logger, "part", "switchboard")}
 	base := time.Now()
-	o := &office{log: b.log, node: p.Node, life: life, store: feed.NewStore(life), warmUp: warmUp, base: base, ready: make(chan struct{})}
+	o := &office{log: b.log, node: p.Node, process: p.Node + "#" + strconv.FormatUint(life, 36), store: feed.NewStore(life), warmUp: warmUp, base: base, ready: make(chan struct{})}
 	o.table.Store(directory.NewTable())
 	clock := feed.NewClock(func() float64 { return time.Since(base).Seconds() })
 	o.client = &feed.Client{Addr: p.Loopback(), Node: p.Node, Class: feed.Proxy, Life: life, Seed: me, Store: o.store, Clock: clock,
@@ -156,14 +152,3 @@
 		b.log.Log("msg", "settings read again")
 	}
 }
-
-// View is what this proxy knows, for whoever asks.
-func (b *Board) View() map[string]string {
-	st := b.office.client.State()
-	listed, avoided := b.office.engine.Pool()
-	return map[string]string{
-		"ready": strconv.FormatBool(b.Ready()), "fresh": strconv.FormatBool(b.office.fresh()), "agent": strconv.FormatBool(b.office.client.Up()),
-		"members": strconv.Itoa(st.Members), "epoch": strconv.FormatUint(st.Epoch, 10), "routes": strconv.Itoa(b.office.table.Load().Routes()),
-		"servers": strconv.Itoa(listed), "avoided": strconv.Itoa(avoided),
-	}
-}
