A run that was given up leaves its ballot: two changes stood under one ballot upon one whole

Cause: desk.lead returns when nobody waits any more, with answers out or something found and not yet dealt with. Those that come later still reach the proposer, and what it wants done then is dropped. So (1) the Accepted that makes the majority after 300 ms and past the call's limit clears mine, Apply is not done, and the next run forms other items upon the same whole under the same ballot: voters that hold the first say OK to the second (Acceptor.Accept looks at the ballot alone), and nodes apply different items as one epoch; (2) a run given up in Fetch or in the pause behind it has prepared set and what it found in nobody's hands: the next one forms its own items over what may be chosen already. Lines: Proposer.Start, which kept prepared whatever state the last run was left in.

A ballot now serves on only behind a run that came to Rest; otherwise a round of prepare comes first, which finds whatever is out.

The walks never gave a run up, so none met it; now they do.

--- a/internal/tandem/ballot/proposer.go
+++ b/internal/tandem/ballot/proposer.go
@@ -74,10 +74,12 @@
 }
 
 // Start begins a run upon the whole that is chosen here: a reading, or one that may propose. What was under way is left: if it was out to be
-// accepted, it stays with whoever accepted it, and this or another proposer finds it.
+// accepted, it stays with whoever accepted it, and this or another proposer finds it. The ballot serves on only behind a run that came to its
+// rest: in one that was left, something may have been found that goes first, or something may be out under that ballot, and chosen by answers
+// that came since.
 func (p *Proposer) Start(epoch uint64, reading bool) Action {
 	p.epoch, p.sure, p.reading, p.pauses = epoch, false, reading, 0
-	if p.mine != nil || p.high.Compare(p.ballot) > 0 {
+	if p.mine != nil || p.high.Compare(p.ballot) > 0 || p.doing != Rest && !mutated("keeps-ballot") {
 		p.prepared = false // what is out comes first; and a higher ballot is about, which most would stand by
 	}
 	if reading {
--- a/internal/tandem/ballot/walk_test.go
+++ b/internal/tandem/ballot/walk_test.go
@@ -68,6 +68,7 @@
 	p       *Proposer
 	r       *Recovery
 	todo    Action // what the proposer waits for
+	left    bool   // the run was given up: answers still reach the proposer, and what it says to them is not done
 	reading bool
 	before  []*call // taken before the reading began
 	calls   []*call // in this run
@@ -129,7 +130,7 @@
 	w.lives++
 	n.disk = disk{n.kept.Acceptor, n.kept.whole, n.kept.votes}
 	n.name = fmt.Sprintf("%d/%d", i, w.lives)
-	n.p, n.r, n.todo, n.late = NewProposer(n.name, w.voters, uint64(w.lives)), nil, Action{Do: Rest}, nil
+	n.p, n.r, n.todo, n.late, n.left = NewProposer(n.name, w.voters, uint64(w.lives)), nil, Action{Do: Rest}, nil, false
 	for _, c := range append(n.queue, n.calls...) {
 		c.at = -1
 	}
@@ -186,6 +187,8 @@
 	case k < 985:
 		if n.todo.Do == Rest {
 			w.start(i, w.rnd.IntN(4) == 0)
+		} else if w.rnd.IntN(4) == 0 {
+			w.leave(i)
 		}
 	default:
 		w.fetch(i, w.rnd.IntN(len(w.nodes)), 0)
@@ -214,11 +217,21 @@
 	w.nodes[i].queue = append(w.nodes[i].queue, c)
 }
 
+// leave gives a run up: nobody waits for it any more. Its operators send again.
+func (w *world) leave(i int) {
+	n := w.nodes[i]
+	for _, c := range n.calls {
+		c.at = -1
+	}
+	n.calls, n.reading, n.left, n.todo = nil, false, true, Action{Do: Rest}
+}
+
 func (w *world) start(i int, reading bool) {
 	n := w.nodes[i]
 	if !reading && len(n.queue) == 0 {
 		return
 	}
+	n.left = false
 	n.reading, n.before = reading, nil
 	if reading {
 		for _, c := range w.calls {
@@ -235,7 +248,7 @@
 // act does what a proposer asks for.
 func (w *world) act(i int, a Action) {
 	n := w.nodes[i]
-	if a.Do == None {
+	if a.Do == None || n.left {
 		return
 	}
 	n.todo = a
