An order that was taken is taken again in any spelling

Lines: Item.Same in item.go, used by Check and by ReadPatch.

Bodies are compared as JSON values in one plain form: members sorted, numbers as exact decimals (2^53+1 is not 2^53), strings decoded, the item's own generation left out, as it is the version. Other contents stay 409; null is not the same as not given.

--- a/internal/office/directory/item.go
+++ b/internal/office/directory/item.go
@@ -4,10 +4,7 @@
 // clock and starts no goroutine.
 package directory
 
-import (
-	"bytes"
-	"cmp"
-)
+import "cmp"
 
 // Kind is a kind of items.
 type Kind uint8
@@ -44,7 +41,7 @@
 // Newer tells whether an item takes the place of another of its name: only a higher version does.
 func (i Item) Newer(old Item) bool { return i.Version > old.Version }
 
-// Same tells whether two items of one version say the same.
+// Same tells whether two items of one version say the same, however they spell it.
 func (i Item) Same(o Item) bool {
-	return i.Key == o.Key && i.Version == o.Version && i.Dropped == o.Dropped && bytes.Equal(i.Body, o.Body)
+	return i.Key == o.Key && i.Version == o.Version && i.Dropped == o.Dropped && says(i.Body, o.Body)
 }
