Let patience end an attempt only where another server takes it, and nothing round planned work

A SIGTERM that came while the request was at its server changed nothing: it was cut at six usual times of an answer, and where the second attempt found no room or no budget, its client got 503. The server, too, was told that time as the whole.

Now a Send tells its patience beside its time-out. Once it is out, upstream asks the module (Ticket.Impatient, again each 50 ms): the attempt is given up only if another backend has room, the budget affords it and there is time for an answer. Never for a request that came before the end of something planned: SIGTERM (for good), each SIGHUP, also one that changes nothing, and each configuration that comes into force (configApplyMs + 1 s). What must not run twice is never given up.

In service no class has patience: nothing changes there.

--- a/internal/attempt/desk.go
+++ b/internal/attempt/desk.go
@@ -29,6 +29,7 @@
 	Until      passhub.Seconds // when to give a Send up, module time
 	RetryAfter passhub.Seconds // of a Refuse; 0: no advice
 	Beyond     bool            // of a Send or a Refuse: the request is beyond its quota
+	Patience   passhub.Seconds // of a Send: so long after it was written, Desk.Impatient is asked whether to give it up; 0: never
 }
 
 // Request is one in the module's hands.
@@ -193,6 +194,14 @@
 // Spend tells that something of a request's body has been taken that cannot be had again.
 func (d *Desk) Spend(q *Request) { q.life.Spend() }
 
+// Impatient tells whether the attempt that is out is to be given up, the patience with it having run out. What cannot be sent again is not.
+func (d *Desk) Impatient(now passhub.Seconds, q *Request) bool {
+	return q.life.phase == Out && !q.life.Once && !q.life.spent && d.gateway.Impatient(now, q.id)
+}
+
+// Planned tells that something planned is under way, until a time: see passhub.Gateway.Planned.
+func (d *Desk) Planned(till passhub.Seconds) { d.gateway.Planned(till) }
+
 // Arrived tells that the body of a request has gone out whole: the quote server's time counts from now on.
 func (d *Desk) Arrived(now passhub.Seconds, q *Request) {
 	q.sent = now
@@ -286,7 +295,7 @@
 	if a.Timeout > 0 {
 		until = min(until, now+a.Timeout)
 	}
-	d.out = append(d.out, Tell{q, Decision{Kind: Send, Backend: a.Backend, Until: until, Beyond: a.Beyond}})
+	d.out = append(d.out, Tell{q, Decision{Kind: Send, Backend: a.Backend, Until: until, Beyond: a.Beyond, Patience: a.Patience}})
 }
 
 // say says the last word on a request. A refusal that would lie becomes a failure.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -78,6 +78,7 @@
 	Until      time.Time       // when to give a Send up
 	Beyond     bool            // of a Send: the request is beyond its quota
 	RetryAfter passhub.Seconds // of a Refuse; 0: no advice
+	Patience   time.Duration   // of a Send: so long after it was written, Ticket.Impatient is asked whether to give it up; 0: never
 }
 
 // Catalogue tells the terms of members where plans change in service (plans.State does). The engine asks it under
@@ -208,6 +209,13 @@
 	e.mu.Unlock()
 }
 
+// Planned tells that something planned is under way, for so many seconds: patience ends no request that is here or comes meanwhile.
+func (e *Engine) Planned(seconds passhub.Seconds) {
+	e.mu.Lock()
+	e.desk.Planned(e.now() + seconds)
+	e.mu.Unlock()
+}
+
 // Place tells where this gateway stands among those of its zone.
 func (e *Engine) Place(rank, peers int) {
 	e.mu.Lock()
@@ -337,6 +345,13 @@
 	t.engine.mu.Unlock()
 }
 
+// Impatient tells whether the attempt that is out is to be given up, the patience with it having run out.
+func (t *Ticket) Impatient() bool {
+	t.engine.mu.Lock()
+	defer t.engine.mu.Unlock()
+	return t.engine.desk.Impatient(t.engine.now(), t.request)
+}
+
 // Arrived tells that the body of a long request has gone out whole.
 func (t *Ticket) Arrived() {
 	t.engine.mu.Lock()
@@ -404,6 +419,7 @@
 		told := Decision{Kind: d.Kind, Backend: d.Backend, Beyond: d.Beyond, RetryAfter: d.RetryAfter}
 		if d.Kind == Send {
 			told.Until = e.clock.Time(d.Until)
+			told.Patience = time.Duration(d.Patience * float64(time.Second))
 		}
 		tell.Request.Host.(*Ticket).next <- told
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -186,6 +186,7 @@
 			if s.Meter != nil {
 				bill.open(s.Meter, &request, ticket, d.Beyond)
 			}
+			message.Patience = upstream.Patience{For: d.Patience, Out: ticket.Impatient}
 			result := s.pool.Do(ctx, d.Backend, message, d.Until)
 			counts.tried(result.Writes)
 			bill.arrival = max(bill.arrival, usage.ArrivalOf(result.Outcome, result.Answered))
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -72,12 +72,21 @@
 // Again tells whether a further attempt may be made, and takes a token if it costs one. Proven: the last one surely has
 // not run. Crowded: first attempts wait for a server; they go before what may have run.
 func (b *Budget) Again(now float64, proven, crowded bool) bool {
-	if proven && !b.Failing(now) && b.slack == 0 {
+	if b.free(now, proven) {
 		return true
 	}
-	if b.tokens < 1 || !proven && crowded {
+	if !b.Affords(now, proven, crowded) {
 		return false
 	}
 	b.tokens--
 	return true
 }
+
+// Affords tells whether Again would say yes, and takes nothing.
+func (b *Budget) Affords(now float64, proven, crowded bool) bool {
+	return b.free(now, proven) || b.tokens >= 1 && (proven || !crowded)
+}
+
+func (b *Budget) free(now float64, proven bool) bool {
+	return proven && !b.Failing(now) && b.slack == 0
+}
--- a/internal/switchboard/office.go
+++ b/internal/switchboard/office.go
@@ -11,6 +11,7 @@
 	"mulleinrouter/internal/office/directory"
 	"mulleinrouter/internal/office/feed"
 	"mulleinrouter/internal/office/lines"
+	"mulleinrouter/internal/office/premises"
 	"mulleinrouter/internal/office/trunk"
 	"mulleinrouter/passhub"
 )
@@ -34,6 +35,7 @@
 	client  *feed.Client
 	engine  *engine.Engine
 	warmUp  passhub.Seconds
+	bounds  func() premises.Bounds // in force
 
 	table       atomic.Pointer[directory.Table]
 	whole       atomic.Bool  // it has had a configuration whole from an agent that had it from the core
@@ -56,6 +58,7 @@
 		o.engine.Start(o)
 	}
 	if len(f.Items) > 0 {
+		o.engine.Planned(o.applies())
 		o.table.Store(o.table.Load().With(o.store.Book(), f.Items))
 		o.log.Log("msg", "configuration in force", "epoch", newest(f.Items), "items", len(f.Items))
 	}
@@ -75,6 +78,9 @@
 	}
 }
 
+// applies is for how long after a change of settings or configuration what it breaks off counts as lost by it, in seconds (RULES, LOST).
+func (o *office) applies() passhub.Seconds { return o.bounds().ConfigApply + 1 }
+
 // newest is the epoch of the newest of some items.
 func newest(items []directory.Item) (epoch uint64) {
 	for _, i := range items {
--- /dev/null
+++ b/internal/switchboard/planned_test.go
@@ -0,0 +1,105 @@
+package switchboard
+
+import (
+	"context"
+	"os"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"mulleinrouter/internal/engine"
+	"mulleinrouter/internal/ingress"
+	"mulleinrouter/internal/office/directory"
+	"mulleinrouter/internal/office/feed"
+	"mulleinrouter/internal/office/premises"
+	"mulleinrouter/internal/office/trunk"
+	"mulleinrouter/passhub"
+)
+
+// TestSilenceEndsNothingRoundWhatIsPlanned has a server fall silent while another is free. On an ordinary day the request goes on to that
+// one; where the machine leaves, its settings are read anew or a configuration comes into force, the request stays where it is.
+func TestSilenceEndsNothingRoundWhatIsPlanned(t *testing.T) {
+	const apply = 2.5
+	type when struct{ ago, in time.Duration } // what is planned happens so long before the request comes, or after
+	for name, tc := range map[string]struct {
+		planned func(b *Board, hup chan os.Signal)
+		when
+		given bool
+	}{
+		"an ordinary day":                 {planned: func(*Board, chan os.Signal) {}, given: true},
+		"SIGTERM while it is out":         {planned: func(b *Board, _ chan os.Signal) { b.leave() }, when: when{in: 100 * time.Millisecond}},
+		"SIGTERM before it":               {planned: func(b *Board, _ chan os.Signal) { b.leave() }, when: when{ago: 2 * time.Second}},
+		"SIGHUP while it is out":          {planned: hangUp, when: when{in: 100 * time.Millisecond}},
+		"SIGHUP before it":                {planned: hangUp, when: when{ago: 3400 * time.Millisecond}},
+		"SIGHUP long before it":           {planned: hangUp, when: when{ago: 3600 * time.Millisecond}, given: true},
+		"a configuration while it is out": {planned: change, when: when{in: 100 * time.Millisecond}},
+		"a configuration before it":       {planned: change, when: when{ago: 3400 * time.Millisecond}},
+		"a configuration long before it":  {planned: change, when: when{ago: 3600 * time.Millisecond}, given: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				s := &passhub.Settings{Balancers: 1, MaxAttempts: 2, MayCancel: true, Slots: true}
+				o := &office{log: log.NewNopLogger(), base: time.Now(), store: feed.NewStore(1), ready: make(chan struct{}),
+					bounds: func() premises.Bounds { return premises.Bounds{ConfigApply: apply} }}
+				o.table.Store(directory.NewTable())
+				o.engine = engine.New(passhub.New(*s, 1), s, engine.NewClock())
+				o.started = true
+				o.engine.Backends(passhub.Backends{List: []passhub.Backend{{ID: "a", Serving: true, Size: 9}, {ID: "b", Serving: true, Size: 9}}})
+				b := &Board{log: o.log, office: o, server: ingress.New(s, o.engine, nil, 9, quiet())}
+				hup := make(chan os.Signal)
+				passed := b.heard(ctx, hup)
+				go func() {
+					for ctx.Err() == nil {
+						select {
+						case <-passed:
+						case <-ctx.Done():
+						}
+					}
+				}()
+				if tc.in == 0 {
+					tc.planned(b, hup)
+					time.Sleep(tc.ago)
+				}
+				class := &passhub.Class{Name: "r", Aim: 0.2, Deadline: 8, Worth: 1, LateWorth: 0.5, Attempts: 2, Patience: patience, Effect: passhub.Safe}
+				ticket := o.engine.Submit(passhub.Request{Class: "r", Kind: class, Left: 8, Units: 1, Terms: nobody, Doors: 1}, func() {})
+				d := ticket.Next()
+				is.Equal(d.Kind, engine.Send)
+				is.True(d.Patience > 0)
+				if tc.in > 0 {
+					time.Sleep(tc.in)
+					tc.planned(b, hup)
+				}
+				time.Sleep(d.Patience)
+				is.Equal(ticket.Impatient(), tc.given)
+				time.Sleep(time.Second)
+				is.Equal(ticket.Impatient(), tc.given) // nor later
+				if tc.given {
+					ticket.Ended(passhub.TimedOut)
+					other := ticket.Next()
+					is.Equal(other.Kind, engine.Send)
+					is.True(other.Backend != d.Backend)
+				}
+			})
+		})
+	}
+}
+
+func hangUp(_ *Board, hup chan os.Signal) {
+	hup <- syscall.SIGHUP
+	synctest.Wait()
+}
+
+func change(b *Board, _ chan os.Signal) {
+	items, err := directory.ReadPatch([]byte(testConfig))
+	if err != nil {
+		panic(err)
+	}
+	b.office.fed(&trunk.Feed{Items: items})
+}
--- a/internal/switchboard/switchboard.go
+++ b/internal/switchboard/switchboard.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -62,7 +63,8 @@
 	me := h.Sum64()
 	b := &Board{p: p, watch: watch, log: log.With(logger, "part", "switchboard")}
 	base := time.Now()
-	o := &office{log: b.log, node: p.Node, process: p.Node + "#" + strconv.FormatUint(life, 36), store: feed.NewStore(life), warmUp: warmUp, base: base, ready: make(chan struct{})}
+	o := &office{log: b.log, node: p.Node, process: p.Node + "#" + strconv.FormatUint(life, 36), store: feed.NewStore(life), warmUp: warmUp, base: base, ready: make(chan struct{}),
+		bounds: func() premises.Bounds { return watch.Current().Bounds }}
 	o.table.Store(directory.NewTable())
 	clock := feed.NewClock(func() float64 { return time.Since(base).Seconds() })
 	o.client = &feed.Client{Addr: p.Loopback(), Node: p.Node, Class: feed.Proxy, Life: life, Seed: me, Store: o.store, Clock: clock,
@@ -121,7 +123,7 @@
 		func() { b.pool.Run(running) },
 		func() { readyPage(b.page, b.Ready) },
 		func() { b.server.Serve(b.front) },
-		func() { b.watch.Follow(running, hup, b.reread) },
+		func() { b.watch.Follow(running, b.heard(running, hup), b.reread) },
 	} {
 		go run()
 	}
@@ -134,7 +136,7 @@
 	case <-ctx.Done():
 	}
 	b.log.Log("msg", "leaving")
-	b.server.Leave()
+	b.leave()
 	time.Sleep(handOver)
 	b.front.Close()
 	grace := time.Duration(b.watch.Current().Bounds.Grace * float64(time.Second))
@@ -143,6 +145,32 @@
 	return nil
 }
 
+// leave has the clients sent elsewhere. A server's silence ends nothing from now on.
+func (b *Board) leave() {
+	b.office.engine.Planned(math.Inf(1))
+	b.server.Leave()
+}
+
+// heard passes signals on, and has the module know of each as it comes, whether the file says anything new or not.
+func (b *Board) heard(ctx context.Context, hup <-chan os.Signal) <-chan os.Signal {
+	passed := make(chan os.Signal, 1)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case s := <-hup:
+				b.office.engine.Planned(b.office.applies())
+				select {
+				case passed <- s:
+				default: // one is on its way
+				}
+			}
+		}
+	}()
+	return passed
+}
+
 // reread is told of a settings file that was read again. The grace holds from now on, what else the proxy goes by from its next start on.
 func (b *Board) reread(changed bool, err error) {
 	switch {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -104,6 +104,7 @@
 	Once               bool                 // it must not run twice, whatever its method
 	Trailer            textproto.MIMEHeader // behind Body, which then goes out in one chunk; nil: none
 	Upload             Upload               // a body that is too long to be held; Body is then nil
+	Patience           Patience             // with the attempt that it is handed over for
 }
 
 // safe tells whether its method is one that may be repeated, and has no body as a rule.
@@ -195,7 +196,9 @@
 	c.Written()
 	*writes++
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(longAgo) })
+	lapse := m.Patience.with(c)
 	a, head, body, err := p.read(c.reader, m)
+	lapse.stop()
 	cancelled := !stop() // then the deadline may be changed at any time from now on
 	if err != nil {
 		how := trouble(ctx, err)
--- a/passhub/attempts.go
+++ b/passhub/attempts.go
@@ -54,7 +54,7 @@
 		}
 		c.ceiling = max(0, c.ceiling-r.Units)
 	}
-	timeout, rest := 0.0, r.aimAt-g.now
+	timeout, rest, patience := 0.0, r.aimAt-g.now, g.patienceWith(r)
 	if r.class.Effect == Safe && r.class.LateWorth == 0 && rest > 0 && rest+tickEvery <= r.dueAt-g.now {
 		timeout = rest + tickEvery // nothing is earned after the aim: free the backend
 		// Far beyond the usual time none will come (the connection fell silent): another can be in time.
@@ -63,8 +63,8 @@
 			timeout = early
 		}
 	}
-	if early := g.patienceWith(r); early > 0 && timeout == 0 {
-		timeout = early
+	if timeout > 0 {
+		patience = 0
 	}
 	r.attempts = append(r.attempts, attempt{b: b, sent: g.now, mayRun: true})
 	r.out++
@@ -84,7 +84,7 @@
 	if len(r.attempts) == 1 {
 		r.pool.retries.First()
 	}
-	g.do(Send{r.ID, b.ID, timeout, !r.inside})
+	g.do(Send{r.ID, b.ID, timeout, !r.inside, patience})
 }
 
 // again decides what follows an attempt that was not served. What may have run is sent again if harmless.
--- a/passhub/gateway.go
+++ b/passhub/gateway.go
@@ -78,6 +78,8 @@
 	standing standing           // among the gateways of the zone
 	patience map[string]Seconds // of a class: the longest that a client has left for an answer
 
+	plannedTill Seconds // requests that come until then are not given up by patience
+
 	odds         odds.Odds
 	silent       int     // counter calls in a row without an answer
 	muted        Seconds // the counter is left alone until then
--- a/passhub/passhub.go
+++ b/passhub/passhub.go
@@ -91,7 +91,7 @@
 	Worth     float64
 	LateWorth float64 // share of the worth an answer after the aim earns
 	Attempts  int     // for one request of it; 0: as the settings say
-	Patience  float64 // usual times of an answer after which a first attempt that may be repeated is given up; 0: it is not
+	Patience  float64 // usual times of an answer after which a first attempt that may be repeated may be given up; 0: it is not
 	Hold      Seconds // it waits no longer for a backend; 0: a part of its aim
 	Effect    Effect
 	Scope     Scope // of a keyed class
@@ -222,6 +222,9 @@
 	Backend string
 	Timeout Seconds
 	Beyond  bool // the request is beyond its quota
+	// Patience is after how long without an answer, from when the request was written, Gateway.Impatient is to be asked whether to give
+	// the attempt up, and again now and then; 0: never.
+	Patience Seconds
 }
 
 // Cancel stops waiting for an attempt.
--- a/passhub/pools.go
+++ b/passhub/pools.go
@@ -122,21 +122,6 @@
 
 const slotsWait = 1.5 // of its slots: others send to it too, and it turns away what its queue does not hold
 
-// patienceWith is after what time a first attempt is given up so that another server can still answer; 0: never. A server that has gone dark
-// says nothing, and most of what a client waits would be spent on it.
-func (g *Gateway) patienceWith(r *request) Seconds {
-	if r.class.Patience == 0 || r.class.Effect != Safe || len(r.attempts) > 0 || cmp.Or(r.class.Attempts, g.s.MaxAttempts) < 2 {
-		return 0
-	}
-	early := max(leastPatience*r.class.Aim, r.class.Patience*r.pool.lat)
-	if early+2*r.pool.lat > r.dueAt-g.now {
-		return 0
-	}
-	return early
-}
-
-const leastPatience = 1.0 // of the aim
-
 // far makes a backend in another zone cost more than one in this gateway's own, and one less while it has a slot free that is this gateway's
 // to go for first: gateways that do not know of one another's requests do not meet there.
 func (g *Gateway) far(b *backend) float64 {
