Give every call of servers and operators at a control node a lease on a majority, or 503 at once

Cause seen: beat in internal/tandem/calls.go said 200 whatever the node hears. A cut-off control node acknowledged beats, its servers were judged silent by the other two after 3.5 beats, and got no requests while the cut lasted. What else depended on contact went by n.quorum, a flag that watch set each 250 ms: a process that stood still for 20 s and woke said Quorum, Ready, Members and ranks, and kept counters, until its ticker came.

contact.go has one lease: a voter is in contact while it has answered a question that was put in the last 1.5 s, by the steady clock, so both directions are shown, and an answer that lay in a buffer counts from when it was asked for. It is looked at when something is said: the table of calls says which calls need it (all but GET /view), before the call is done and again before its answer goes out. Feeds (Quorum, Ready, Members, ranks), judging of silence and counters ask it too; a confirmed whole belongs to one unbroken span of it. Just after the start a call waits up to 0.5 s for the first contact, since all may have started at once.

Faults for tests of it: builds with the tag mutants.

--- a/internal/office/trunk/codec.go
+++ b/internal/office/trunk/codec.go
@@ -103,7 +103,7 @@
 // Answer tells whether a frame answers a call: it bears a number and asks nothing. An empty frame with a number is an answer too.
 func (f *Frame) Answer() bool {
 	return f.Call != 0 && f.Hello == nil && f.Feed == nil && f.Renew == nil && f.Add == nil &&
-		f.Prepare == nil && f.Accept == nil && f.Chosen == nil && f.Since == nil && f.Hold == nil
+		f.Prepare == nil && f.Accept == nil && f.Chosen == nil && f.Since == nil && f.Hold == nil && f.Ping == nil
 }
 
 // slow tells whether what answers this call may wait for a disk.
--- a/internal/office/trunk/frame.go
+++ b/internal/office/trunk/frame.go
@@ -28,8 +28,12 @@
 	Items    *Items    `cbor:"13,keyasint,omitempty"`
 	Hold     *Hold     `cbor:"14,keyasint,omitempty"` // keep these lines on disk before you answer
 	Held     *Held     `cbor:"15,keyasint,omitempty"`
+	Ping     *Ping     `cbor:"16,keyasint,omitempty"` // of one control node to another: an empty answer shows that each hears the other
 }
 
+// Ping is a call that only wants an answer.
+type Ping struct{}
+
 // Hello subscribes to a source.
 type Hello struct {
 	Node  string       `cbor:"1,keyasint"`           // whose
--- a/internal/tandem/calls.go
+++ b/internal/tandem/calls.go
@@ -35,16 +35,17 @@
 type call struct {
 	pattern string // method and path
 	bytes   int64  // of the body, at most
+	contact bool   // only in contact with a majority, when it comes and when it is answered: else 503 at once
 	do      func(*Node, *http.Request, []byte) answer
 }
 
 // calls is all of them.
 var calls = []call{
-	{"PUT /instances/{id}", beatBytes, (*Node).beat},
-	{"DELETE /instances/{id}", beatBytes, (*Node).leave},
-	{"PATCH /config", patchBytes, (*Node).patch},
-	{"GET /config", 0, (*Node).readBack},
-	{"GET /view", 0, (*Node).view},
+	{"PUT /instances/{id}", beatBytes, true, (*Node).beat},
+	{"DELETE /instances/{id}", beatBytes, true, (*Node).leave},
+	{"PATCH /config", patchBytes, true, (*Node).patch},
+	{"GET /config", 0, true, (*Node).readBack},
+	{"GET /view", 0, false, (*Node).view},
 }
 
 // answer is what a call gets: a status and a body of JSON.
@@ -63,6 +64,8 @@
 	return answer{status, b}
 }
 
+var noContact = no(http.StatusServiceUnavailable, "no contact with a majority of the control nodes")
+
 func noMajority(err error) answer { return no(http.StatusServiceUnavailable, err.Error()) }
 
 // server serves the calls.
@@ -107,7 +110,35 @@
 	case err != nil:
 		return no(http.StatusBadRequest, "the body did not come")
 	}
-	return c.do(n, r, body)
+	if c.contact && !n.touch(r.Context()) {
+		return noContact
+	}
+	a := c.do(n, r, body)
+	if _, ok := n.contact.holds(); c.contact && !ok {
+		return noContact // the process may have stood still meanwhile
+	}
+	return a
+}
+
+// touch tells whether this node is in contact with a majority. Just after the start it waits a little for the first contact: all may
+// have started at once.
+func (n *Node) touch(ctx context.Context) bool {
+	if _, ok := n.contact.holds(); ok {
+		return true
+	}
+	left := min(touchMost, touchFrom-time.Since(n.started))
+	if left <= 0 {
+		return false
+	}
+	t := time.NewTimer(left)
+	defer t.Stop()
+	select {
+	case <-n.contact.first:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	_, ok := n.contact.holds()
+	return ok
 }
 
 // read reads a body. For a long one memory is taken as it comes, not as its length claims.
@@ -247,6 +278,7 @@
 	type source struct {
 		At     string  `json:"at"`
 		Heard  float64 `json:"heardSecondsAgo"`
+		Touch  float64 `json:"answeredSecondsAgo"` // by when it was asked; -1: never
 		Epoch  uint64  `json:"epoch"`
 		Ready  bool    `json:"ready"`
 		Quorum bool    `json:"quorum"`
@@ -258,11 +290,12 @@
 		if s.Life != 0 {
 			heard = time.Since(s.Heard).Seconds()
 		}
-		others = append(others, source{x.addr, heard, s.Epoch, s.Ready, s.Quorum})
+		others = append(others, source{x.addr, heard, max(-1, n.contact.age(x.addr).Seconds()), s.Epoch, s.Ready, s.Quorum})
 	})
 	n.keeper.Lock()
 	keys := n.keeper.Len()
 	n.keeper.Unlock()
+	term, held := n.contact.holds()
 	var why string
 	switch {
 	case n.ready():
@@ -271,9 +304,9 @@
 		why = "the disk has not been read yet"
 	case voters == nil:
 		why = "the disk was lost, and nobody has told who chooses"
-	case !n.quorum.Load():
+	case !held:
 		why = "it does not hear more than half of the voters"
-	case !n.confirmed.Load():
+	case n.confirmed.Load() != term:
 		why = "the configuration here is not known to be the newest"
 	case epoch == 0:
 		why = "there is no configuration yet"
--- a/internal/tandem/node.go
+++ b/internal/tandem/node.go
@@ -29,7 +29,6 @@
 
 const (
 	tick       = 250 * time.Millisecond
-	fresh      = 1500 * time.Millisecond // for which a node counts as heard
 	countFrom  = 1500 * time.Millisecond // after the start: by then all who hold a lease have renewed it here
 	orphaned   = 200 * time.Millisecond  // after which an accepted change is finished by whoever has it
 	orphanStep = 75 * time.Millisecond   // more for each voter before this one, so that they do not all do it
@@ -81,9 +80,10 @@
 		*tally.Keeper
 	}
 
-	quorum    atomic.Bool   // more than half of the voters are heard, this one with them
-	confirmed atomic.Bool   // since then, the whole here was found to be as new as that of more than half
+	contact   *contact
+	confirmed atomic.Uint64 // the span of contact in which the whole here was found to be as new as that of more than half; 0: none
 	warm      atomic.Bool   // the servers are known: its disk had them, or another node that has all has told them
+	seen      atomic.Bool   // contact, as watch last found it
 	stir      chan struct{} // something came that is not to wait for the next tick
 	members   atomic.Int64
 	places    atomic.Pointer[map[string]place] // of ingresses; swapped whole
@@ -120,8 +120,12 @@
 	n.desk = newDesk(n)
 	n.roll = newRoll(n.store, s.Beat, n.up)
 	n.keeper.Keeper = tally.New()
-	n.source = &feed.Source{Store: n.store, Clock: n.clock, Ready: n.ready, Quorum: n.quorum.Load, Learn: n.roll.learn, Renewed: n.leases.renewed,
-		Beats: n.roll.recent, Place: n.place, Members: func() int { return int(n.members.Load()) }}
+	n.contact = newContact(n.self, func() time.Duration { return time.Since(n.started) }, func() []string {
+		voters, _ := n.voter.electorate()
+		return voters
+	})
+	n.source = &feed.Source{Store: n.store, Clock: n.clock, Ready: n.ready, Quorum: n.held, Learn: n.roll.learn, Renewed: n.leases.renewed,
+		Beats: n.roll.recent, Place: n.place, Members: n.ingresses}
 	return n, nil
 }
 
@@ -401,19 +405,49 @@
 	return found
 }
 
-// call calls another control node; nil: no answer.
+// call calls another control node; nil: no answer. Any answer shows contact.
 func (n *Node) call(to string, most time.Duration, f *trunk.Frame) *trunk.Frame {
 	x := n.peer(to)
 	if x == nil {
 		return nil
 	}
+	asked := n.contact.now()
 	r, err := x.client.Call(most, f)
 	if err != nil {
 		return nil
 	}
+	n.contact.answered(to, asked)
 	return r
 }
 
+// ping asks the voters for a sign.
+func (n *Node) ping() {
+	voters, _ := n.voter.electorate()
+	for _, v := range voters {
+		if x := n.peer(v); x != nil && x.client.Up() {
+			go func() {
+				if n.call(v, fresh, &trunk.Frame{Ping: &trunk.Ping{}}) != nil && !n.seen.Load() {
+					n.stirred()
+				}
+			}()
+		}
+	}
+}
+
+// held tells whether this node is in contact with a majority.
+func (n *Node) held() bool {
+	_, ok := n.contact.holds()
+	return ok
+}
+
+// ingresses is how many hold a lease; 0: it is not known, as where there is no contact.
+func (n *Node) ingresses() int {
+	if !n.held() {
+		return 0
+	}
+	return int(n.members.Load())
+}
+
 // fetch gets what is chosen and not here from another control node, up to an epoch at least, and tells how far the whole here is then.
 func (n *Node) fetch(from string, want uint64) uint64 {
 	x := n.peer(from)
@@ -449,14 +483,13 @@
 		case <-n.stir:
 		}
 		now := time.Now()
-		quorum, living := n.living()
-		if quorum != n.quorum.Load() {
+		n.ping()
+		living, quorum := n.contact.living()
+		if n.seen.Swap(quorum) != quorum {
 			n.log.Log("msg", "quorum", "heard", quorum)
-			n.confirmed.Store(false)
-			n.quorum.Store(quorum)
 			n.store.Nudge()
 		}
-		if due := n.roll.judge(quorum); len(due) > 0 {
+		if due := n.roll.judge(quorum || mutated("judges-alone")); len(due) > 0 {
 			n.log.Log("msg", "lines judged", "count", len(due), "first", due[0].ID, "phase", due[0].Phase)
 		}
 		if members := n.counted(now); n.members.Swap(members) != members {
@@ -470,9 +503,9 @@
 			n.places.Store(&all)
 		}
 		n.keeper.Lock()
-		n.keeper.Duty(n.up(), living, n.config.InnerOf(n.self), quorum)
+		n.keeper.Duty(n.up(), n.inners(living), n.config.InnerOf(n.self), quorum || mutated("keeps-counters-alone"))
 		n.keeper.Unlock()
-		if quorum && (!n.confirmed.Load() || n.orphan(now)) {
+		if term, ok := n.contact.holds(); ok && (n.confirmed.Load() != term || n.orphan(now)) {
 			n.desk.settle()
 		}
 		n.sweep()
@@ -496,9 +529,9 @@
 	return count
 }
 
-// place is where an ingress stands in its zone.
+// place is where an ingress stands in its zone; 0 peers: it is not known, as where there is no contact.
 func (n *Node) place(node string) (rank, peers int) {
-	if all := n.places.Load(); all != nil {
+	if all := n.places.Load(); all != nil && n.held() {
 		p := (*all)[node]
 		return p.rank, p.peers
 	}
@@ -513,15 +546,13 @@
 	}
 }
 
-// living tells whether more than half of the voters are heard, this node with them, and names those by inner addresses.
-func (n *Node) living() (quorum bool, living []string) {
-	voters, _ := n.voter.electorate()
-	for _, v := range voters {
-		if x := n.peer(v); v == n.self || x != nil && x.client.State().Within(fresh) {
-			living = append(living, n.config.InnerOf(v))
-		}
+// inners is the inner addresses of control nodes.
+func (n *Node) inners(addrs []string) []string {
+	all := make([]string, len(addrs))
+	for i, a := range addrs {
+		all[i] = n.config.InnerOf(a)
 	}
-	return len(voters) > 0 && len(living) >= ballot.Majority(len(voters)), living
+	return all
 }
 
 // orphan tells whether something that was accepted here waits for so long that its proposer must be gone.
@@ -548,10 +579,11 @@
 	})
 }
 
-// ready tells whether a newcomer may serve with what it gets here: the configuration is as new as any that was acknowledged when the
-// quorum was last found, and servers have had the time to call.
+// ready tells whether a newcomer may serve with what it gets here: the configuration is as new as any that was acknowledged when this
+// span of contact began, and servers have had the time to call.
 func (n *Node) ready() bool {
-	return n.quorum.Load() && n.confirmed.Load() && n.store.Epoch() > 0 && (n.warm.Load() || n.up() > 1.2*n.settings.Beat)
+	term, ok := n.contact.holds()
+	return ok && n.confirmed.Load() == term && n.store.Epoch() > 0 && (n.warm.Load() || n.up() > 1.2*n.settings.Beat)
 }
 
 // serveInner takes agents and control nodes.
@@ -601,6 +633,9 @@
 	if a == nil {
 		return nil
 	}
+	if !n.held() && !mutated("keeps-counters-alone") {
+		return &trunk.Frame{Total: &trunk.Total{}}
+	}
 	n.keeper.Lock()
 	defer n.keeper.Unlock()
 	sum, holders, ok := n.keeper.Add(n.up(), a.Name, a.Cycle, a.Holder, a.Amount, a.Read, a.One, a.Serial, a.Keep)
@@ -613,6 +648,8 @@
 	switch {
 	case f.Add != nil:
 		return n.count(f)
+	case f.Ping != nil:
+		return answer
 	case f.Call == 0:
 		return nil // none of these is sent without a number, and all of them may wait
 	case f.Prepare != nil:
--- a/internal/tandem/propose.go
+++ b/internal/tandem/propose.go
@@ -154,8 +154,12 @@
 			}
 			if readers, some := d.takeReaders(); some {
 				more = true
+				term, held := d.n.contact.holds()
 				err := d.lead(ctx, nil)
-				d.n.confirmed.Store(err == nil)
+				if err != nil || !held {
+					term = 0
+				}
+				d.n.confirmed.Store(term)
 				d.n.store.Nudge()
 				for _, r := range readers {
 					r <- err
