One number never bears two contents, also once a higher one has overtaken it

Cause: Book.Check knew of an item the newest version alone. x@8 taken, x@9 taken, then another operator's x@8 (its first answer lost, or late): lower, hence 'of no effect', hence 200: two contents confirmed under one number. Likewise an order that names a service that does not stand was acknowledged once a higher version had overtaken its route.

An item that stands now keeps the last 16 versions it overtook, with a sum of what each said (Item.Past, 8 bytes where there is none, on disk and on the wire a further field): what was taken is known again and acknowledged whatever stands by now; other contents get 409. An overtaken one that comes for the first time is judged as if it took effect, and its number goes through the ballots into the past of the one that stands, before it is acknowledged. Behind 16 higher ones nothing is known of a version, and it is answered as before.

The plain model in directory_test.go has the same register now (stricter: it took such calls before); that the model's items and Merge's agree is checked on what Check says changed, which is what voters merge. feed_test.go compares items without their past, which is not the feed's.

--- a/internal/office/directory/book.go
+++ b/internal/office/directory/book.go
@@ -110,29 +110,48 @@
 // cannot be read is kept and passed on, but it never takes effect.
 func (b *Book) Merge(items []Item) (next *Book, changed []Item) { return b.merge(items, nil) }
 
-// merge is Merge; read holds what was read in the items already, if anything.
+// merge is Merge. Read holds what was read in the items already, where they come from an operator: then those that are overtaken and were never
+// told of join the past of the ones that stand, and these are what changed.
 func (b *Book) merge(items []Item, read []*entry) (*Book, []Item) {
 	next, e, changed := Book{}, new(edit), []Item(nil)
 	if b != nil {
 		next = *b
 	}
 	for n, i := range items {
-		old := next.entry(i.Key)
-		if old != nil && !i.Newer(old.Item) {
+		old, now := next.entry(i.Key), (*entry)(nil)
+		switch {
+		case old == nil || i.Newer(old.Item):
+			if old != nil && i.Past == nil {
+				i.Past = old.Past.with(old.Item)
+			}
+			if read != nil {
+				now = read[n]
+				now.Past = i.Past
+			} else {
+				now, _ = readItem(i)
+			}
+		case read != nil && i.Version < old.Version:
+			if _, _, isNew := old.known(i.Version); !isNew {
+				continue
+			}
+			stands := old.Item
+			stands.Past, stands.Epoch = stands.Past.with(i), i.Epoch
+			now, _ = readItem(stands)
+		case i.Version == old.Version && i.Epoch >= old.Epoch && i.Past.differs(old.Past): // its past has grown
+			now, _ = readItem(i)
+		default:
 			continue
 		}
-		if read != nil {
-			next.set(e, old, read[n])
-		} else {
-			now, _ := readItem(i)
-			next.set(e, old, now)
-		}
-		changed = append(changed, i)
+		next.set(e, old, now)
+		changed = append(changed, now.Item)
 	}
 	if len(changed) == 0 {
 		return b, nil
 	}
-	changed = slices.DeleteFunc(changed, func(i Item) bool { return i.Version != next.entry(i.Key).Version }) // overtaken by another of them
+	changed = slices.DeleteFunc(changed, func(i Item) bool { // overtaken by another of them
+		now := next.entry(i.Key)
+		return i.Version != now.Version || i.Past != now.Past
+	})
 	return &next, changed
 }
 
@@ -189,7 +208,9 @@
 // Check tells what the whole would be with these items, and whether it may be: next is the book with them, changed are those that
 // change it. Errors are *Refusal: with 400, where an item is invalid by itself (even one that is too old to have an effect), where a
 // route names a service that does not stand, or where two routes stand at one place; with 409, where an item says something else than
-// the one that stands under the same version. Only what the items touch is looked at: a book that stands is taken for valid.
+// what stands or was taken before under the same version. An item that was taken once is never judged anew: neither by the services that stand
+// now nor by its place. One that is overtaken and comes for the first time is, as it would be if it took effect; then the past of the one that
+// stands holds it, which is a change too. Only what the items touch is looked at: a book that stands is taken for valid.
 func (b *Book) Check(items []Item) (changed []Item, next *Book, err error) {
 	read := make([]*entry, len(items))
 	for n, i := range items {
@@ -199,11 +220,21 @@
 	}
 	next, changed = b.merge(items, read)
 	for _, i := range items {
-		old := b.entry(i.Key)
-		if now := next.entry(i.Key); i.Version == now.Version && !i.Same(now.Item) || old != nil && i.Version == old.Version && !i.Same(old.Item) {
+		if i.contradicts(next.entry(i.Key).Item) {
 			return nil, nil, &Refusal{Status: 409, Text: i.Key.String() + ": this version says something else already"}
 		}
 	}
+	for n, i := range items {
+		old := b.entry(i.Key)
+		if old == nil || i.Version >= old.Version || read[n].route == nil {
+			continue
+		}
+		if _, _, isNew := old.known(i.Version); isNew {
+			if err := next.fits(read[n].route); err != nil {
+				return nil, nil, err
+			}
+		}
+	}
 	for _, i := range changed {
 		switch now := next.entry(i.Key); {
 		case i.Key.Kind == Services && i.Dropped:
@@ -211,15 +242,7 @@
 				return nil, nil, invalid("%v: dropped, but routes name it", i.Key)
 			}
 		case now.route != nil:
-			if c, _ := next.places.get(now.route.place()); c.next != nil {
-				return nil, nil, invalid("routes %.80q and %.80q: the same host and prefix", c.of.Name, c.next.of.Name)
-			}
-			now.route.names(func(service string) {
-				if err == nil && !next.serves(service) {
-					err = invalid("%v: unknown service %.80q", i.Key, service)
-				}
-			})
-			if err != nil {
+			if err := next.fits(now.route); err != nil {
 				return nil, nil, err
 			}
 		}
@@ -227,6 +250,24 @@
 	return changed, next, nil
 }
 
+// fits tells whether a route could stand: the services that it names do, and no other has its place.
+func (b *Book) fits(r *Route) (err error) {
+	r.names(func(service string) {
+		if err == nil && !b.serves(service) {
+			err = invalid("%v: unknown service %.80q", Key{Routes, r.Name}, service)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	for c, _ := b.places.get(r.place()); c != nil; c = c.next {
+		if c.of.Name != r.Name {
+			return invalid("routes %.80q and %.80q: the same host and prefix", c.of.Name, r.Name)
+		}
+	}
+	return nil
+}
+
 // Render is the answer to GET /config: all items that stand, their bodies as they were sent, laid out as the operator lays out upsert
 // and sorted by name.
 func (b *Book) Render() []byte {
--- a/internal/office/directory/directory_test.go
+++ b/internal/office/directory/directory_test.go
@@ -233,6 +233,29 @@
 	}
 }
 
+// gone is the plain model of what is overtaken: of each name the highest versions, the highest first.
+type gone map[Key][]Item
+
+func (g gone) has(i Item) (Item, bool) {
+	n := slices.IndexFunc(g[i.Key], func(o Item) bool { return o.Version == i.Version })
+	if n < 0 {
+		return Item{}, false
+	}
+	return g[i.Key][n], true
+}
+
+// with notes one more, and tells whether it is new.
+func (g gone) with(i Item) bool {
+	if _, ok := g.has(i); ok {
+		return false
+	}
+	all := append(slices.Clone(g[i.Key]), i)
+	slices.SortFunc(all, func(a, b Item) int { return int(b.Version) - int(a.Version) })
+	g[i.Key] = all[:min(len(all), pastMost)]
+	_, kept := g.has(i)
+	return kept
+}
+
 func (m model) routes() (list []*Route) {
 	for _, i := range m {
 		if r, err := ParseRoute(i); err == nil {
@@ -252,17 +275,45 @@
 }
 
 // check is the status of a call; the model holds it afterwards only where that is 200.
-func (m model) check(items []Item) int {
+func (m model) check(items []Item, past gone) int {
 	for _, i := range items {
 		if _, err := readItem(i); err != nil {
 			return 400
 		}
 	}
-	next := maps.Clone(m)
-	next.merge(items)
+	next, left, late := maps.Clone(m), maps.Clone(past), []Item(nil)
 	for _, i := range items {
-		if old, ok := m[i.Key]; ok && old.Version == i.Version && !old.Same(i) {
-			return 409
+		old, ok := m[i.Key]
+		switch {
+		case !ok:
+		case old.Version == i.Version:
+			if !old.Same(i) {
+				return 409
+			}
+		case old.Version < i.Version:
+			left.with(old)
+		default:
+			if left.with(i) {
+				late = append(late, i)
+			}
+			if was, ok := left.has(i); ok && !was.Same(i) {
+				return 409
+			}
+		}
+	}
+	next.merge(items)
+	for _, i := range late {
+		r, err := ParseRoute(i)
+		if err != nil {
+			continue
+		}
+		for _, o := range next.routes() {
+			if o.Name != r.Name && o.place() == r.place() {
+				return 400
+			}
+		}
+		if s, ok := next[Key{Services, r.Service}]; !ok || s.Dropped {
+			return 400
 		}
 	}
 	seen := map[place]bool{}
@@ -278,6 +329,7 @@
 		}
 	}
 	maps.Copy(m, next)
+	maps.Copy(past, left)
 	return 200
 }
 
@@ -389,6 +441,7 @@
 	for range 16 {
 		m, table := model{}, NewTable()
 		var b *Book
+		past := gone{}
 		for step := range 40 {
 			items := make([]Item, 1+r.IntN(4))
 			for n := range items {
@@ -396,17 +449,28 @@
 			}
 			slices.SortFunc(items, func(a, b Item) int { return a.Key.Compare(b.Key) })
 			items = slices.CompactFunc(items, func(a, b Item) bool { return a.Key == b.Key }) // of one name, ReadPatch leaves one
-			status := m.check(items)
+			status := m.check(items, past)
 			changed, next, err := b.Check(items)
 			if err != nil {
 				is.Equal(err.(*Refusal).Status, status)
 			} else {
 				is.Equal(status, 200)
-				merged, same := b.Merge(items)
+				merged, same := b.Merge(changed)
 				is.Equal(merged.Render(), next.Render())
 				is.Equal(changed, same)
 				b, table = next, table.With(next, changed)
 				agree(t, m, b, table)
+				for i := range merged.All() {
+					var want *Past
+					for _, old := range past[i.Key] {
+						want = want.with(old)
+					}
+					is.Equal(i.Past, want)
+				}
+				same, again, err := b.Check(items) // an order that was taken is taken again, and changes nothing
+				is.NoErr(err)
+				is.Equal(len(same), 0)
+				is.Equal(again, b)
 			}
 			taken[status]++
 		}
--- a/internal/office/directory/item.go
+++ b/internal/office/directory/item.go
@@ -4,7 +4,10 @@
 // clock and starts no goroutine.
 package directory
 
-import "cmp"
+import (
+	"cmp"
+	"slices"
+)
 
 // Kind is a kind of items.
 type Kind uint8
@@ -36,6 +39,58 @@
 	Dropped bool   `cbor:"3,keyasint,omitempty"`
 	Body    []byte `cbor:"4,keyasint,omitempty"`
 	Epoch   uint64 `cbor:"5,keyasint,omitempty"` // the change of the whole that it was chosen with; 0: not chosen yet
+	Past    *Past  `cbor:"6,keyasint,omitempty"` // versions that it overtook, the highest first; nil: none, or it does not stand yet
+}
+
+// Past is what is kept of versions that an operator was told are taken and that a higher one overtook, before they came or after: enough to tell
+// an order that is sent again from another one under the same number. It is never changed in place.
+type Past []PastVersion
+
+// PastVersion is one of them.
+type PastVersion struct {
+	_       struct{} `cbor:",toarray"`
+	Version uint64
+	Sum     uint64 // of what it said
+}
+
+// pastMost is how many versions of an item are kept, the highest: who sends again after as many others has waited for minutes.
+const pastMost = 16
+
+// known tells what a version said that is overtaken. Where it is neither found nor new, it is too old: nothing is known of it.
+func (i Item) known(version uint64) (sum uint64, found, isNew bool) {
+	if i.Past == nil || mutated("forgets-past") {
+		return 0, false, !mutated("forgets-past")
+	}
+	past := *i.Past
+	n, found := slices.BinarySearchFunc(past, version, func(p PastVersion, v uint64) int { return cmp.Compare(v, p.Version) })
+	if found {
+		return past[n].Sum, true, false
+	}
+	return 0, false, n < pastMost
+}
+
+// with is the past with one more version in it.
+func (p *Past) with(i Item) *Past {
+	var past Past
+	if p != nil {
+		past = slices.Clone(*p)
+	}
+	n, _ := slices.BinarySearchFunc(past, i.Version, func(p PastVersion, v uint64) int { return cmp.Compare(v, p.Version) })
+	past = slices.Insert(past, n, PastVersion{Version: i.Version, Sum: i.sum()})
+	past = past[:min(len(past), pastMost)]
+	return &past
+}
+
+// differs tells whether one past tells something else than another.
+func (p *Past) differs(o *Past) bool { return p != nil && (o == nil || !slices.Equal(*p, *o)) }
+
+// contradicts tells whether an item says something else than one that stands says, or is known to have been said, under the same version.
+func (i Item) contradicts(stands Item) bool {
+	if i.Version == stands.Version {
+		return !i.Same(stands)
+	}
+	sum, found, _ := stands.known(i.Version)
+	return found && sum != i.sum()
 }
 
 // Newer tells whether an item takes the place of another of its name: only a higher version does.
--- a/internal/office/feed/feed_test.go
+++ b/internal/office/feed/feed_test.go
@@ -104,6 +104,7 @@
 			}
 			var got []string
 			for _, i := range items {
+				i.Past = nil // the directory's own
 				is.Equal(i, p.items["item"+i.Key.Name])
 				got = append(got, "item"+i.Key.Name)
 			}
