--- /dev/null
+++ b/internal/tandem/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package tandem
+
+const orderSeeds = 8
