Take no other request's refusal for one's own, nor an answer that may be cut for a whole one

Causes, all in the data plane of the system (MIXED, TWICE, REFUSED): - meaning (switchboard/speech.go) looked at X-Not-Executed and 421 before the id: a late copy of the refusal of the request before, in this one's place, said that this one had not run, while it did. The id is looked at first now; two ids are no answer. - An answer without an end of its own (neither length nor chunks) went on to the client in chunks with a proper end: cut short by the server's close, it looked whole. It is no answer now (http1 Unbounded). - A further attempt carries the same X-Attempt-Id: on a connection that had carried the first, a copy of the first one's refusal would count for it. Such an attempt takes a connection of its own; and where an answer came without an id, the connection carries nothing more that must not run twice (link.Fits). - How many answers to others are passed over, and that their connection ends, is the link's now (link.Other) and no longer a counter in upstream.read. The in-service dialect has no id in its answers (Dialect.ID empty): nothing of this applies to it.

Tests: switchboard TestCutAnswersNeverLookWhole (each byte of six answers, close and reset), TestAnswersFindTheirOwnCaller (13 x 13 answers, one behind another). TestOnlyTheServersOwnWord has four rows more and each row a second time without a length.

--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -228,6 +228,9 @@
 // Large tells whether an answer's body may be longer than MaxBody: it is to be streamed, not read whole.
 func (a *Response) Large() bool { return a.chunked || a.untilClose || a.length > MaxBody }
 
+// Unbounded tells whether an answer's body ends with the connection: one that was cut short cannot be told from a whole one.
+func (a *Response) Unbounded() bool { return a.untilClose }
+
 // Body reads the whole body of an answer, of at most MaxBody.
 func (m *Reader) Body(a *Response) ([]byte, error) { return m.body(a.framing) }
 
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -59,8 +59,9 @@
 
 // Link is the machine of one connection. Its zero value is one that has just come up.
 type Link struct {
-	state State
-	uses  int
+	state  State
+	uses   int
+	others int // answers to other requests that came on it
 }
 
 // State tells where it is.
@@ -92,6 +93,32 @@
 	return (serving || mutated("held-goes")) && !cancelled
 }
 
+// Fit is what is known of a kept connection and the request that is to go out on it, where answers name the request that they are for.
+type Fit struct {
+	Again   bool // an attempt of the same request, so under the same name, has been made at this server
+	Once    bool // the request must not run twice
+	Unnamed bool // an answer without a name has come on the connection
+}
+
+// Fits tells whether a kept connection may be taken. A copy of an earlier answer may come on it in the place of the next: where the name does
+// not tell the two apart, an old refusal would be taken for the word that the new request has not run.
+func Fits(f Fit) bool {
+	return (!f.Again || mutated("again-kept")) && !(f.Once && f.Unnamed && !mutated("unnamed-kept"))
+}
+
+// Other tells that an answer to another request came in this one's place. On: it is passed over, for this one's may be behind it; the
+// connection is not used again. Not on: there is no end of them.
+func (l *Link) Other() (on bool) {
+	if l.state != Awaiting {
+		return false
+	}
+	l.others++
+	return l.others <= mostOthers
+}
+
+// mostOthers bounds the answers to other requests that are passed over before this one's: a server could send them without end.
+const mostOthers = 4
+
 // NotBegun gives it back before a byte was written: the server is to get nothing new, or nobody waits any more.
 func (l *Link) NotBegun() Verdict {
 	if l.state != Writing {
@@ -154,6 +181,8 @@
 	switch {
 	case a.More && !mutated("more-kept"):
 		v.Code = "upstream-bad-answer"
+	case l.others > 0 && !mutated("other-kept"):
+		v.Code = "upstream-other-answer" // nobody asked for it here, and more may come
 	case a.Close && !mutated("close-kept"):
 		v.Code = "upstream-close"
 	case cancelled && !mutated("cancelled-kept"):
--- /dev/null
+++ b/internal/switchboard/answers_test.go
@@ -0,0 +1,211 @@
+package switchboard
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"mulleinrouter/internal/engine"
+	"mulleinrouter/internal/http1"
+	"mulleinrouter/internal/ingress"
+	"mulleinrouter/internal/upstream"
+	"mulleinrouter/passhub"
+)
+
+// chained is a proxy whose one server is the function given: it is called with each connection, and ends it by coming back.
+func chained(t *testing.T, serve func(nc *net.TCPConn, r *http1.Reader)) (front string) {
+	t.Helper()
+	listen := func() net.Listener {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		return l
+	}
+	back, client := listen(), listen()
+	go func() {
+		for {
+			nc, err := back.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer nc.Close()
+				serve(nc.(*net.TCPConn), http1.NewReader(nc))
+			}()
+		}
+	}()
+	speech := speechOf(t, strings.Replace(testConfig, `"weighted":[{"backend":"s1","share":30},{"backend":"s2","share":70}]`, `"backend":"s2"`, 1), true, true)
+	s := &passhub.Settings{Balancers: 1, MaxAttempts: 2, MayCancel: true, Slots: true}
+	e := engine.New(passhub.New(*s, 1), s, engine.NewClock())
+	e.Start(nil)
+	e.Backends(passhub.Backends{List: []passhub.Backend{{ID: "i-2", Group: "s2", Serving: true, Size: 9}}})
+	pool := upstream.New(func(string) (string, bool) { return back.Addr().String(), true },
+		upstream.Limits{Connections: 99, ConnectTimeout: time.Second, Keepalive: time.Minute}, quiet())
+	pool.Dialect = upstream.Dialect{Begin: begin, Meaning: meaning, ID: keyID}
+	server := ingress.New(s, e, pool, 99, quiet())
+	server.Speak(speech.dialect())
+	server.Started()
+	go server.Serve(client)
+	t.Cleanup(func() { server.Drain(time.Second, 0) })
+	return client.Addr().String()
+}
+
+// asked sends a request that must not run twice, and reads its answer as far as it comes.
+func asked(t *testing.T, nc net.Conn, r *bufio.Reader, id string) (status int, header http.Header, body string, err error) {
+	t.Helper()
+	nc.SetDeadline(time.Now().Add(10 * time.Second))
+	fmt.Fprintf(nc, "POST /a/b/x HTTP/1.1\r\nHost: one.example\r\nAuthorization: Token k3\r\nX-Attempt-Id: %s\r\nX-Time-Left-Ms: 5000\r\nContent-Length: 2\r\n\r\nhi", id)
+	a, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return 0, nil, "", err
+	}
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	return a.StatusCode, a.Header, string(b), err
+}
+
+// TestCutAnswersNeverLookWhole has the server break off after each byte of its answer, with a close or a reset: the client gets no success,
+// or one that it can see is not whole. After the last byte it gets it whole.
+func TestCutAnswersNeverLookWhole(t *testing.T) {
+	const own = "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: s\r\n"
+	for name, c := range map[string]struct{ answer, body string }{
+		"with a length":        {own + "Content-Length: 5\r\n\r\nhello", "hello"},
+		"in chunks":            {own + "Transfer-Encoding: chunked\r\n\r\n3\r\nhel\r\n2;x=y\r\nlo\r\n0\r\nX-Sum: 1\r\n\r\n", "hello"},
+		"behind an interim":    {"HTTP/1.1 100 Continue\r\n\r\n" + own + "Content-Length: 2\r\n\r\nhi", "hi"},
+		"behind another's":     {strings.Replace(own, "{id}", "i-other", 1) + "Content-Length: 1\r\n\r\nx" + own + "Content-Length: 2\r\n\r\nhi", "hi"},
+		"without a body":       {own + "Content-Length: 0\r\n\r\n", ""},
+		"with no end but that": {own + "\r\nhello", "\x00"}, // it may have been cut short: never a success
+	} {
+		t.Run(name, func(t *testing.T) {
+			front := chained(t, func(nc *net.TCPConn, r *http1.Reader) {
+				q, err := r.Head()
+				if err != nil || r.ReadBody(q) != nil {
+					return
+				}
+				id := q.Header.Get(keyID) // which tells what to do
+				cut, _ := strconv.Atoi(id[1:5])
+				io.WriteString(nc, strings.ReplaceAll(c.answer, "{id}", id)[:cut])
+				if id[0] == 'r' {
+					nc.SetLinger(0)
+				}
+			})
+			length := len(strings.ReplaceAll(c.answer, "{id}", "c0000"))
+			for cut := range length + 1 {
+				for _, reset := range []bool{false, true} {
+					id := fmt.Sprintf("%s%04d", map[bool]string{false: "c", true: "r"}[reset], cut)
+					nc, err := net.Dial("tcp4", front)
+					if err != nil {
+						t.Fatal(err)
+					}
+					status, header, body, err := asked(t, nc, bufio.NewReader(nc), id)
+					nc.Close()
+					whole := cut == length && c.body != "\x00"
+					switch success := err == nil && status/100 == 2; {
+					case success && (!whole || body != c.body || header.Get("X-Server-Seal") != "s"):
+						t.Errorf("cut after %d bytes, reset %v: a success with %q", cut, reset, body)
+					case !success && whole && !reset: // a reset may overtake the last bytes
+						t.Errorf("whole, and the client got %d, %v", status, err)
+					case err == nil && status != 200 && status != 502:
+						t.Errorf("cut after %d bytes, reset %v: it may have run, and the client got %d", cut, reset, status)
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestAnswersFindTheirOwnCaller sends one request behind another to a server that answers each with what may stand in an answer's place: the
+// one before, a second one, another's refusal, one without a name. A client gets its own answer or a failure, and never hears that a request
+// has not run which has; nothing runs twice.
+func TestAnswersFindTheirOwnCaller(t *testing.T) {
+	ok := func(id string) string {
+		return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: s\r\nContent-Length: %d\r\n\r\n%s", id, len(id), id)
+	}
+	full := func(id string) string {
+		return fmt.Sprintf("HTTP/1.1 503 Full\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
+	}
+	const bare = "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	tricks := []struct {
+		name   string
+		answer func(id, before, last string) string // last is what the request before got on this connection
+		status int
+		runs   int
+	}{
+		{"its own", func(id, _, _ string) string { return ok(id) }, 200, 1},
+		{"the one before in its place", func(id, before, _ string) string { return ok(before) + ok(id) }, 200, 1},
+		{"what was said before in its place", func(id, _, last string) string { return last + ok(id) }, 200, 1},
+		{"two of its own", func(id, _, _ string) string { return ok(id) + ok(id) }, 200, 1},
+		{"the refusal of the one before in its place", func(id, before, _ string) string { return full(before) + ok(id) }, 200, 1},
+		{"only the one before, and the end", func(_, before, _ string) string { return ok(before) }, 502, 1},
+		{"five others", func(id, before, _ string) string { return strings.Repeat(ok(before), 5) + ok(id) }, 502, 1},
+		{"its own and a refusal", func(id, _, _ string) string { return ok(id) + bare }, 200, 1},
+		{"its refusal", func(id, _, _ string) string { return full(id) }, 503, 0},
+		{"a refusal without a name", func(string, string, string) string { return bare }, 503, 0},
+		{"its refusal, twice", func(id, _, _ string) string { return full(id) + full(id) }, 503, 0},
+		{"no name", func(id, _, _ string) string { return strings.Replace(ok(id), "X-Attempt-Id", "X-Other", 1) }, 502, 1},
+		{"no seal", func(id, _, _ string) string { return strings.Replace(ok(id), "X-Server-Seal", "X-Other", 1) }, 502, 1},
+	}
+	for _, first := range tricks {
+		t.Run(first.name, func(t *testing.T) {
+			t.Parallel()
+			for _, second := range tricks {
+				var mu sync.Mutex
+				runs := map[string]int{}
+				front := chained(t, func(nc *net.TCPConn, r *http1.Reader) {
+					for before, last := "i-none", ""; ; {
+						q, err := r.Head()
+						if err != nil || r.ReadBody(q) != nil {
+							return
+						}
+						id, tr := q.Header.Get(keyID), first
+						if id[0] == 's' {
+							tr = second
+						}
+						answer := tr.answer(id, before, last)
+						mu.Lock()
+						runs[id] += tr.runs
+						mu.Unlock()
+						if io.WriteString(nc, answer); strings.HasSuffix(tr.name, "the end") {
+							return
+						}
+						before, last = id, answer
+					}
+				})
+				nc, err := net.Dial("tcp4", front)
+				if err != nil {
+					t.Fatal(err)
+				}
+				r := bufio.NewReader(nc)
+				for i, tr := range []struct {
+					id     string
+					status int
+				}{{"f", first.status}, {"s", second.status}} {
+					for try := 0; ; try++ {
+						id := fmt.Sprint(tr.id, try)
+						status, _, body, err := asked(t, nc, r, id)
+						mu.Lock()
+						ran := runs[id]
+						mu.Unlock()
+						if i == 1 && status == 503 && ran == 0 && tr.status != 503 && err == nil && try < 50 {
+							continue // it rests after a refusal: the client asks again
+						}
+						if err != nil || status != tr.status || status == 200 && body != id || ran > 1 || (status == 429 || status == 503) && ran > 0 {
+							t.Errorf("%q behind %q: the client of %s got %d with %q (%v), it ran %d times", second.name, first.name, id, status, body, err, ran)
+						}
+						break
+					}
+				}
+				nc.Close()
+			}
+		})
+	}
+}
--- a/internal/switchboard/speech.go
+++ b/internal/switchboard/speech.go
@@ -223,14 +223,17 @@
 }
 
 // meaning is what a server's answer means (PROTOCOL, "Servers" and "Answers"): only X-Not-Executed, or 421, says that the request has
-// not run, and an answer under another id, or none, is not its own.
+// not run, and an answer under another id is not its own, whatever it says. One without an end of its own may have been cut short.
 func meaning(m *upstream.Message, a *http1.Response) upstream.Meaning {
-	if a.Header.Get(keyNotRun) != "" || a.Status == 421 {
-		return upstream.Refused
-	}
 	switch id := a.Header.Get(keyID); {
+	case len(a.Header[keyID]) > 1:
+		return upstream.Broken
 	case id != "" && id != m.ID:
 		return upstream.Foreign
+	case a.Header.Get(keyNotRun) != "" || a.Status == 421:
+		return upstream.Refused
+	case a.Unbounded():
+		return upstream.Broken
 	case a.Status >= 500:
 		return upstream.Failed
 	case id == "", a.Status/100 == 2 && (a.Header.Get(keySeal) == "" || a.Header.Get("Content-Encoding") != ""):
--- a/internal/switchboard/speech_test.go
+++ b/internal/switchboard/speech_test.go
@@ -28,7 +28,11 @@
 "remove":{"routes":[]}}`
 
 func testSpeech(t *testing.T, fresh, whole bool) *speech {
-	items, err := directory.ReadPatch([]byte(testConfig))
+	return speechOf(t, testConfig, fresh, whole)
+}
+
+func speechOf(t *testing.T, config string, fresh, whole bool) *speech {
+	items, err := directory.ReadPatch([]byte(config))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -138,13 +142,27 @@
 		"421 Other\nX-Instance-Id: i-5":                                      upstream.Refused,
 		"404 None":                                                           upstream.Broken,
 		"404 None\nX-Attempt-Id: i1":                                         upstream.Served,
+		"503 Full\nX-Attempt-Id: i2\nX-Not-Executed: 1":                      upstream.Foreign, // another's refusal proves nothing here
+		"421 Other\nX-Attempt-Id: i2":                                        upstream.Foreign,
+		"200 OK\nX-Attempt-Id: i1\nX-Attempt-Id: i2\nX-Server-Seal: s":       upstream.Broken,
+		"503 Full\nX-Attempt-Id: i1\nX-Attempt-Id: i2\nX-Not-Executed: 1":    upstream.Broken,
 	} {
-		a, err := http1.NewReader(strings.NewReader("HTTP/1.1 " + strings.ReplaceAll(text, "\n", "\r\n") + "\r\nContent-Length: 0\r\n\r\n")).Response(false)
-		if err != nil {
-			t.Fatal(err)
-		}
-		if got := meaning(&upstream.Message{ID: "i1"}, a); got != want {
-			t.Errorf("%q means %v, not %v", text, got, want)
+		for _, unbounded := range []bool{false, true} { // its end is the connection's: it may have been cut short
+			end := "\r\nContent-Length: 0\r\n\r\n"
+			if unbounded {
+				end = "\r\n\r\n"
+			}
+			a, err := http1.NewReader(strings.NewReader("HTTP/1.1 " + strings.ReplaceAll(text, "\n", "\r\n") + end)).Response(false)
+			if err != nil {
+				t.Fatal(err)
+			}
+			want := want
+			if unbounded && (want == upstream.Served || want == upstream.Failed) {
+				want = upstream.Broken
+			}
+			if got := meaning(&upstream.Message{ID: "i1"}, a); got != want {
+				t.Errorf("%q, unbounded %v, means %v, not %v", text, unbounded, got, want)
+			}
 		}
 	}
 }
@@ -183,7 +201,7 @@
 		}
 	}()
 	p := upstream.New(func(string) (string, bool) { return l.Addr().String(), true }, upstream.Limits{Connections: 9, ConnectTimeout: time.Second, Keepalive: time.Minute}, quiet())
-	p.Dialect = upstream.Dialect{Begin: begin, Meaning: meaning}
+	p.Dialect = upstream.Dialect{Begin: begin, Meaning: meaning, ID: keyID}
 	for _, id := range []string{"first", "second", "third"} {
 		r := p.Do(t.Context(), "i-1", &upstream.Message{Method: "GET", Target: "/", Host: "h", ID: id}, time.Now().Add(5*time.Second))
 		is.Equal(r.Outcome, passhub.Done)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -44,6 +45,8 @@
 	Begin func(b []byte, m *Message, backend string, left time.Duration) []byte
 	// Meaning is what an answer means to the request it came behind. Nil: as in service.
 	Meaning func(m *Message, a *http1.Response) Meaning
+	// ID is the field in which an answer carries back the id of its request, in textproto's form; "": none does, as in service.
+	ID string
 }
 
 // Meaning is what an answer means.
@@ -84,6 +87,7 @@
 	raw           syscall.RawConn
 	settle        time.Duration   // by which what it answers to a byte is here
 	answered      passhub.Seconds // when it last did
+	unnamed       bool            // an answer without an id has come on it
 }
 
 // New returns an empty pool.
@@ -105,6 +109,8 @@
 	Trailer            textproto.MIMEHeader // behind Body, which then goes out in one chunk; nil: none
 	Upload             Upload               // a body that is too long to be held; Body is then nil
 	Patience           Patience             // with the attempt that it is handed over for
+
+	tried []string // servers at which attempts of it were made
 }
 
 // safe tells whether its method is one that may be repeated, and has no body as a rule.
@@ -129,9 +135,13 @@
 	if _, serving := p.lookup(backend); !serving || ctx.Err() != nil {
 		return Result{Outcome: passhub.Skipped}
 	}
-	writes := 0
+	writes, fit := 0, link.Fit{Once: m.Once}
+	if p.Dialect.ID != "" {
+		fit.Again = slices.Contains(m.tried, backend)
+		m.tried = append(m.tried, backend)
+	}
 	for {
-		c, err := p.get(ctx, backend, until)
+		c, err := p.get(ctx, backend, until, fit)
 		if errors.Is(err, errUnneeded) || errors.Is(err, errFull) {
 			return Result{Outcome: passhub.Skipped, Writes: writes} // nothing was sent whole, and the server is not to blame
 		} else if err != nil {
@@ -174,7 +184,7 @@
 	if m.Upload != nil {
 		answered, err := p.upload(ctx, c, m, *buf, until)
 		if err != nil && answered {
-			a, head, body, err := p.read(c.reader, m)
+			a, head, body, err := p.read(c, m)
 			if err == nil {
 				return c.Early(a), head, body, nil
 			}
@@ -197,7 +207,7 @@
 	*writes++
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(longAgo) })
 	lapse := m.Patience.with(c)
-	a, head, body, err := p.read(c.reader, m)
+	a, head, body, err := p.read(c, m)
 	lapse.stop()
 	cancelled := !stop() // then the deadline may be changed at any time from now on
 	if err != nil {
@@ -208,6 +218,7 @@
 		return c.Unanswered(how), nil, nil, err
 	}
 	c.answered = p.now()
+	c.unnamed = c.unnamed || p.Dialect.ID != "" && head.Header.Get(p.Dialect.ID) == ""
 	return c.Answered(a, cancelled), head, body, nil
 }
 
@@ -288,19 +299,14 @@
 
 var errBroken = errors.New("no answer in the protocol")
 
-// mostForeign bounds the answers to other requests that are passed over before this one's: a server could send them without end.
-const mostForeign = 4
-
 // read takes the answer, and its body if it is the client's and is not streamed. Without an error there is a head.
-func (p *Pool) read(r *http1.Reader, m *Message) (a link.Answer, head *http1.Response, body []byte, err error) {
-	foreign := 0
-	for {
+func (p *Pool) read(c *conn, m *Message) (a link.Answer, head *http1.Response, body []byte, err error) {
+	for r := c.reader; ; {
 		if head, err = r.Response(m.Method == "HEAD"); err != nil {
 			return a, nil, nil, err
 		}
 		meaning := p.means(m, head)
-		// A connection on which answers come that nobody asked for is not used again.
-		a = link.Answer{Status: head.Status, NotProcessed: meaning == Refused, Close: head.Close || foreign > 0}
+		a = link.Answer{Status: head.Status, NotProcessed: meaning == Refused, Close: head.Close}
 		switch meaning {
 		case Served:
 			a.Status = 200
@@ -313,8 +319,7 @@
 		if body, err = r.Body(head); err != nil {
 			return a, nil, nil, err
 		}
-		if meaning == Foreign && foreign < mostForeign {
-			foreign++
+		if meaning == Foreign && c.Other() {
 			continue
 		}
 		if meaning == Foreign || meaning == Broken {
@@ -360,7 +365,7 @@
 )
 
 // get takes the connection used last, or opens one.
-func (p *Pool) get(ctx context.Context, backend string, until time.Time) (*conn, error) {
+func (p *Pool) get(ctx context.Context, backend string, until time.Time, fit link.Fit) (*conn, error) {
 	addr, _ := p.lookup(backend)
 	for {
 		p.mu.Lock()
@@ -376,6 +381,10 @@
 			p.close(kept.Conn, code, nil)
 			continue
 		}
+		if fit.Unnamed = kept.Conn.unnamed; !link.Fits(fit) {
+			p.close(kept.Conn, "upstream-doubtful", nil)
+			continue
+		}
 		return kept.Conn, nil
 	}
 	spare, end, ok := p.shelf.Room()
