Have the connection that waited longest give way at a control node; keep places for operators

Ruled out: processor (24% of its 48%), disks (1.4 syncs a second), and the proposals themselves, which were never reached.

Now places (pure, with a plain model) follow from limits.maxFds and are shared with inner connections, whose own bound of 3,400 beside the 512 was over what 4,096 descriptors leave. A newcomer is always taken: the longest idle connection gives way, none with a call in hand; of the calls in hand some are kept for operators and for servers' calls whose bodies are there. A server's body has a second; one that is not taken no longer holds its connection (net/http would read it to its end), and one that came too late gets 408 in place of 400, which ends an operator's call for good.

--- a/internal/tandem/calls.go
+++ b/internal/tandem/calls.go
@@ -7,6 +7,7 @@
 	stdlog "log"
 	"net/http"
 	"net/netip"
+	"os"
 	"strconv"
 	"time"
 
@@ -18,33 +19,35 @@
 )
 
 const (
-	changeMost  = 850 * time.Millisecond // an operator waits for a second, and longer where the call is long
-	holdMost    = 800 * time.Millisecond
-	mostControl = 512 // connections; servers call once in a beat and need none in between
-	beatBytes   = 4 << 10
-	patchBytes  = 28 << 20 // what a frame between control nodes holds
-	bigBytes    = 1 << 20  // of longer bodies only two are read at once
-	longID      = 256
-	mostSlots   = 1 << 16
-	coldMost    = 600 // seconds
-	idleFor     = 5 * time.Second
-	bodyWithin  = 10 * time.Second
+	changeMost = 850 * time.Millisecond // an operator waits for a second, and longer where the call is long
+	holdMost   = 800 * time.Millisecond
+	beatBytes  = 4 << 10
+	patchBytes = 28 << 20 // what a frame between control nodes holds
+	bigBytes   = 1 << 20  // of longer bodies only two are read at once
+	longID     = 256
+	mostSlots  = 1 << 16
+	coldMost   = 600 // seconds
+	idleFor    = 5 * time.Second
+	bodyWithin = 10 * time.Second
+	beatWithin = time.Second           // its body: the server waits for the answer no longer
+	promptly   = 50 * time.Millisecond // where room is short
 )
 
 // call is one that servers or operators make.
 type call struct {
-	pattern string // method and path
-	bytes   int64  // of the body, at most
-	do      func(*Node, *http.Request, []byte) answer
+	pattern  string // method and path
+	bytes    int64  // of the body, at most
+	operator bool   // else a server's
+	do       func(*Node, *http.Request, []byte) answer
 }
 
 // calls is all of them.
 var calls = []call{
-	{"PUT /instances/{id}", beatBytes, (*Node).beat},
-	{"DELETE /instances/{id}", beatBytes, (*Node).leave},
-	{"PATCH /config", patchBytes, (*Node).patch},
-	{"GET /config", 0, (*Node).readBack},
-	{"GET /view", 0, (*Node).view},
+	{"PUT /instances/{id}", beatBytes, false, (*Node).beat},
+	{"DELETE /instances/{id}", beatBytes, false, (*Node).leave},
+	{"PATCH /config", patchBytes, true, (*Node).patch},
+	{"GET /config", 0, true, (*Node).readBack},
+	{"GET /view", 0, true, (*Node).view},
 }
 
 // answer is what a call gets: a status and a body of JSON.
@@ -84,28 +87,54 @@
 		_, _ = w.Write(no(http.StatusNotFound, "no such call").body)
 	})
 	return &http.Server{Handler: mux, ReadHeaderTimeout: 2 * time.Second, ReadTimeout: bodyWithin, WriteTimeout: 2 * bodyWithin, IdleTimeout: idleFor,
-		MaxHeaderBytes: 8 << 10, ErrorLog: stdlog.New(log.NewStdlibAdapter(n.log), "", 0)}
+		MaxHeaderBytes: 8 << 10, ConnState: n.doors.state, ConnContext: withCaller, ErrorLog: stdlog.New(log.NewStdlibAdapter(n.log), "", 0)}
 }
 
 func (n *Node) serveCall(c call, w http.ResponseWriter, r *http.Request) answer {
+	reading := http.NewResponseController(w)
+	// What is left of a body that is not taken is not waited for: the connection ends, and its place is free for others at once.
+	refuse := func(status int, message string) answer {
+		w.Header().Set("Connection", "close")
+		_ = reading.SetReadDeadline(time.Now())
+		n.doors.free(r)
+		return no(status, message)
+	}
 	if r.ContentLength > c.bytes {
-		return no(http.StatusRequestEntityTooLarge, "the body is too long")
+		return refuse(http.StatusRequestEntityTooLarge, "the body is too long")
+	}
+	within := beatWithin
+	switch n.doors.begin(r, c.operator) {
+	case out:
+		panic(http.ErrAbortHandler)
+	case refused:
+		return refuse(http.StatusServiceUnavailable, "too many calls are in hand")
+	case prompt:
+		within = promptly
+	case taken:
 	}
 	if c.bytes > bigBytes && (r.ContentLength > bigBytes || r.ContentLength < 0) {
 		select {
 		case n.big <- struct{}{}:
 			defer func() { <-n.big }()
 		case <-time.After(changeMost):
-			return no(http.StatusServiceUnavailable, "other large calls are being read")
+			return refuse(http.StatusServiceUnavailable, "other large calls are being read")
 		}
 	}
+	if !c.operator {
+		_ = reading.SetReadDeadline(time.Now().Add(within)) // where it cannot be set, that of the server holds
+	}
 	body, err := read(http.MaxBytesReader(w, r.Body, c.bytes), r.ContentLength)
 	var long *http.MaxBytesError
 	switch {
 	case errors.As(err, &long):
-		return no(http.StatusRequestEntityTooLarge, "the body is too long")
+		return refuse(http.StatusRequestEntityTooLarge, "the body is too long")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refuse(http.StatusRequestTimeout, "the body did not come in time")
 	case err != nil:
-		return no(http.StatusBadRequest, "the body did not come")
+		return refuse(http.StatusBadRequest, "the body did not come")
+	}
+	if !c.operator {
+		_ = reading.SetReadDeadline(time.Now().Add(bodyWithin)) // the call goes on
 	}
 	return c.do(n, r, body)
 }
--- a/internal/tandem/node.go
+++ b/internal/tandem/node.go
@@ -36,7 +36,6 @@
 	fetchMost  = 5 * time.Second
 	askEach    = 200 * time.Millisecond // while a vote is being recovered
 	mostPeers  = 40                     // control nodes
-	mostInner  = 3400                   // connections of agents and control nodes
 	lameFor    = time.Second
 )
 
@@ -88,9 +87,9 @@
 	members   atomic.Int64
 	places    atomic.Pointer[map[string]place] // of ingresses; swapped whole
 	before    atomic.Int64                     // members, as the disk had them
-	inner     atomic.Int64                     // connections
-	ended     chan struct{}                    // closed at the end
-	lame      time.Duration                    // from the end of the control calls to that of all else
+	doors     doors
+	ended     chan struct{} // closed at the end
+	lame      time.Duration // from the end of the control calls to that of all else
 }
 
 // peer is another control node.
@@ -120,6 +119,7 @@
 	n.desk = newDesk(n)
 	n.roll = newRoll(n.store, s.Beat, n.up)
 	n.keeper.Keeper = tally.New()
+	n.doors.places = placesFor(s.Limits.MaxFDs)
 	n.source = &feed.Source{Store: n.store, Clock: n.clock, Ready: n.ready, Quorum: n.quorum.Load, Learn: n.roll.learn, Renewed: n.leases.renewed,
 		Beats: n.roll.recent, Place: n.place, Members: func() int { return int(n.members.Load()) }}
 	return n, nil
@@ -155,7 +155,7 @@
 	server := n.server()
 	lame := n.lame
 	all.Go(func() {
-		if err := server.Serve(&bounded{Listener: control, most: mostControl}); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(&listener{control, &n.doors}); !errors.Is(err, http.ErrServerClosed) {
 			broken <- errors.Wrap(err, "control calls")
 		}
 	})
@@ -565,13 +565,12 @@
 			pause(ctx, 20*time.Millisecond) // out of descriptors, for one
 			continue
 		}
-		if n.inner.Add(1) > mostInner {
-			n.inner.Add(-1)
+		if !n.doors.inside() {
 			nc.Close()
 			continue
 		}
 		go func() {
-			defer n.inner.Add(-1)
+			defer n.doors.outside()
 			n.serve(ctx, nc, all)
 		}()
 	}
@@ -700,35 +699,3 @@
 	}
 	return false
 }
-
-// bounded is a listener that closes what comes beyond a number of open connections.
-type bounded struct {
-	net.Listener
-	most int64
-	open atomic.Int64
-}
-
-func (b *bounded) Accept() (net.Conn, error) {
-	for {
-		nc, err := b.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if b.open.Add(1) <= b.most {
-			return &counted{Conn: nc, of: b}, nil
-		}
-		b.open.Add(-1)
-		nc.Close()
-	}
-}
-
-type counted struct {
-	net.Conn
-	of   *bounded
-	once sync.Once
-}
-
-func (c *counted) Close() error {
-	c.once.Do(func() { c.of.open.Add(-1) })
-	return c.Conn.Close()
-}
--- a/internal/tandem/node_test.go
+++ b/internal/tandem/node_test.go
@@ -40,12 +40,13 @@
 // machine is one of them with its disk.
 type machine struct {
 	*Node
-	addr  string
-	fs    *vfs.MemFS
-	hang  *hanging
-	inner *pipes
-	stop  context.CancelFunc
-	ended chan error
+	addr    string
+	fs      *vfs.MemFS
+	hang    *hanging
+	inner   *pipes
+	control *pipes
+	stop    context.CancelFunc
+	ended   chan error
 }
 
 // pipes is a listener for pipes.
@@ -128,12 +129,12 @@
 
 func (c *core) start(addr string, fs *vfs.MemFS, bootstrap bool) *machine {
 	c.lives++
-	m := &machine{addr: addr, fs: fs, hang: &hanging{FS: fs}, inner: newPipes(), ended: make(chan error, 1)}
+	m := &machine{addr: addr, fs: fs, hang: &hanging{FS: fs}, inner: newPipes(), control: newPipes(), ended: make(chan error, 1)}
 	var err error
 	host, _, _ := net.SplitHostPort(addr)
 	m.Node, err = New(Config{
 		Settings: &premises.Premises{Node: "core-" + host, Host: host, Control: addr, DataPath: "d", InnerFirst: 75, Seeds: c.seeds, Beat: 1.5, Bootstrap: bootstrap},
-		Log:      log.NewNopLogger(), FS: m.hang, Life: c.lives, Control: newPipes(), Inner: m.inner,
+		Log:      log.NewNopLogger(), FS: m.hang, Life: c.lives, Control: m.control, Inner: m.inner,
 		Dial: func(_ context.Context, inner string) (net.Conn, error) { return c.dial(addr, inner) },
 	})
 	c.NoErr(err)
