Have agents go only by control nodes in contact, subscribe to the voters told, and date words by when they were sent

Cause seen: look in internal/linefinder/finder.go took members, ranks and counter calls from any source that was heard, counted a source once for good as having told all, and measured quorum by the settings' seeds. A cut-off control node was as good as any; a newcomer whose seeds are cut off had no way to others; a voter that is no seed got no counter calls from it at all.

Each control node tells agents the electorate (Feed.Voters, once for a connection and when it changes); the agent subscribes to the voters beyond its seeds, 9 sources in all, and leaves those that a source in contact no longer names. Members, ranks, living and quorum come from sources in contact; enough asks for sources that are ready and in contact now and not behind any other's epoch. State.Heard is when a feed was sent by the common clock: what lay in a buffer while a process stood still is as old as it is, for the proxy too.

Changed tests: TestFinder had a node without contact count towards quorum and as whole (the fault itself); it now regains contact at that point, and its members are asserted not to count before. Its nodes' clocks now run. TestLook's word that is whole is ready too.

--- a/internal/linefinder/finder.go
+++ b/internal/linefinder/finder.go
@@ -20,12 +20,14 @@
 )
 
 const (
-	mostSeeds   = 5
+	mostSeeds   = 5   // of the settings
+	mostSources = 9   // with those that control nodes told of
 	mostCalls   = 256 // counter calls under way; more are answered at once as not kept
 	mostProxies = 8   // connections of the proxy: two while one takes over from another, and whoever looks
 	fresh       = 2 * time.Second
 	renewed     = 1500 * time.Millisecond // for which the word of a proxy that it is ready holds
 	oneIsEnough = 5 * time.Second         // from the start, until one control node that hears most others will do
+	widenEach   = 250 * time.Millisecond  // at the first feed so long after the last time
 	dialIn      = time.Second
 	callIn      = 160 * time.Millisecond // a counter call, at each of two keepers: a proxy waits for little more than both
 )
@@ -42,7 +44,13 @@
 	source  *feed.Source
 	started time.Time
 
-	seeds   atomic.Pointer[[]*seed] // in force; swapped whole
+	seeds  atomic.Pointer[[]*seed] // in force; swapped whole, under follow
+	follow struct {
+		sync.Mutex
+		ctx  context.Context
+		from *premises.Premises
+	}
+	widened atomic.Int64 // when others were last looked for, since the start
 	all     sync.WaitGroup
 	ready   atomic.Bool  // what is here is enough to serve with; once it is, it stays so
 	takes   atomic.Int64 // when a proxy last said that it takes requests, since the start; 0: never
@@ -55,6 +63,7 @@
 // seed is a control node that is subscribed to.
 type seed struct {
 	addr   string
+	told   atomic.Bool // by a control node, not by the settings
 	client *feed.Client
 	stop   context.CancelFunc
 	whole  atomic.Bool // all that it knows has come, as it was ready itself
@@ -89,8 +98,11 @@
 	return at != 0 && f.proxies.Load() > 0 && time.Since(f.started)-time.Duration(at) < renewed
 }
 
-// Follow subscribes to the control nodes of these settings, and no longer to others. Its clients end with the context.
+// Follow subscribes to the control nodes of these settings, and no longer to those of the ones before. Its clients end with the context.
 func (f *Finder) Follow(ctx context.Context, p *premises.Premises) {
+	f.follow.Lock()
+	defer f.follow.Unlock()
+	f.follow.ctx, f.follow.from = ctx, p
 	var addrs []string
 	for _, s := range p.Seeds {
 		if a := p.InnerOf(s); a != "" && !slices.Contains(addrs, a) && len(addrs) < mostSeeds {
@@ -100,7 +112,8 @@
 	old := *f.seeds.Load()
 	var next []*seed
 	for _, s := range old {
-		if slices.Contains(addrs, s.addr) {
+		if own := slices.Contains(addrs, s.addr); own || s.told.Load() {
+			s.told.Store(!own)
 			next = append(next, s)
 		} else {
 			s.stop()
@@ -114,6 +127,47 @@
 	f.seeds.Store(&next)
 }
 
+// widen subscribes to the voters that a control node told of, beyond the settings' own: these may be down, or cut off from the rest,
+// and each voter keeps counters. One that is no voter any more goes, if that is sure.
+func (f *Finder) widen(told []string, sure bool) {
+	now := time.Since(f.started)
+	if at := f.widened.Load(); now-time.Duration(at) < widenEach || !f.widened.CompareAndSwap(at, int64(now)) {
+		return
+	}
+	f.follow.Lock()
+	defer f.follow.Unlock()
+	p := f.follow.from
+	if p == nil || f.follow.ctx.Err() != nil {
+		return
+	}
+	var voters []string
+	for _, v := range told {
+		if a := p.InnerOf(v); a != "" && !slices.Contains(voters, a) {
+			voters = append(voters, a)
+		}
+	}
+	old := *f.seeds.Load()
+	var next []*seed
+	for _, s := range old {
+		if sure && s.told.Load() && !slices.Contains(voters, s.addr) {
+			s.stop()
+		} else {
+			next = append(next, s)
+		}
+	}
+	for _, a := range voters {
+		if len(next) < mostSources && !slices.ContainsFunc(next, func(s *seed) bool { return s.addr == a }) {
+			f.log.Log("msg", "source told", "source", a)
+			s := f.subscribe(f.follow.ctx, a, p.Node, p.Zone)
+			s.told.Store(true)
+			next = append(next, s)
+		}
+	}
+	if !slices.Equal(next, old) {
+		f.seeds.Store(&next)
+	}
+}
+
 // subscribe starts a client of a control node.
 func (f *Finder) subscribe(ctx context.Context, addr, node, zone string) *seed {
 	s := &seed{addr: addr}
@@ -139,19 +193,25 @@
 	return s
 }
 
-// judge notes, once, that what is here is enough to serve with.
+// judge notes, once, that what is here is enough to serve with, and takes up the voters that are told.
 func (f *Finder) judge() {
-	if !f.ready.Load() && f.outlook().enough && f.ready.CompareAndSwap(false, true) {
+	o := f.outlook()
+	if !f.ready.Load() && o.enough && f.ready.CompareAndSwap(false, true) {
 		f.log.Log("msg", "ready", "items", f.store.Book().Len(), "epoch", f.store.Epoch())
 		f.store.Nudge()
 	}
+	if o.told != nil {
+		f.widen(o.told, o.sure)
+	}
 }
 
-// outlook is what the control nodes look like together.
+// outlook is what the control nodes look like together. Only those in contact with a majority of the voters have a say.
 type outlook struct {
 	members int      // the most that one of them counts; 0: none knows
-	quorum  bool     // more than half of them are heard
+	quorum  bool     // as many of them are heard as are a majority of the voters
 	enough  bool     // what has come from them is enough to serve with
+	told    []string // the voters, by control addresses; nil: nobody has told them
+	sure    bool     // one in contact has
 	rank    int      // of this ingress in its zone, as the one that counts most has it
 	peers   int      // 0: it has none
 	living  []string // those that counter calls can go to
@@ -160,6 +220,7 @@
 // word is what is known of one control node.
 type word struct {
 	addr  string
+	told  bool
 	up    bool
 	whole bool
 	feed.State
@@ -167,22 +228,35 @@
 
 func (f *Finder) outlook() outlook {
 	seeds := *f.seeds.Load()
-	words := make([]word, 0, mostSeeds)
+	words := make([]word, 0, mostSources)
 	for _, s := range seeds {
-		words = append(words, word{s.addr, s.client.Up(), s.whole.Load(), s.client.State()})
+		words = append(words, word{s.addr, s.told.Load(), s.client.Up(), s.whole.Load(), s.client.State()})
 	}
 	return look(words, time.Now(), time.Since(f.started))
 }
 
-// look judges what is known of the control nodes, so long after the start. Whoever has all from more than half of them has everything that was
-// acknowledged. Where so many do not come, one is enough that hears more than half itself, and so has it too.
+// look judges what is known of the control nodes, so long after the start. A majority of the voters has everything that was
+// acknowledged, and who is in contact with one and ready has it too. Where not so many as are a majority come, one is enough after a while.
+// One that is out of contact, or is known to be behind another, feeds nobody anew.
 func look(words []word, now time.Time, since time.Duration) (o outlook) {
-	heard, whole, sure := 0, 0, false
-	for _, w := range words {
-		if w.whole {
-			whole++
+	heard, whole, electorate, newest, knows := 0, 0, 0, uint64(0), uint64(0)
+	in := func(w *word) bool { return w.Life != 0 && now.Sub(w.Heard) <= fresh && w.Quorum }
+	for i := range words {
+		w := &words[i]
+		newest = max(newest, w.Epoch)
+		if !w.told {
+			electorate++
 		}
-		if w.Life == 0 || now.Sub(w.Heard) > fresh {
+		if len(w.Voters) > 0 && (o.told == nil || in(w) && (!o.sure || w.Epoch > knows)) {
+			o.told, o.sure, knows = w.Voters, in(w), w.Epoch
+		}
+	}
+	if o.sure {
+		electorate = len(o.told)
+	}
+	for i := range words {
+		w := &words[i]
+		if !in(w) {
 			continue
 		}
 		heard++
@@ -190,13 +264,15 @@
 			o.rank, o.peers = w.Rank, w.Peers
 		}
 		o.members = max(o.members, w.Members)
-		sure = sure || w.whole && w.Quorum
+		if w.whole && w.Ready && w.Epoch >= newest {
+			whole++
+		}
 		if w.up {
 			o.living = append(o.living, w.addr)
 		}
 	}
-	o.quorum = 2*heard > len(words)
-	o.enough = 2*whole > len(words) || since > oneIsEnough && sure
+	o.quorum = heard > 0 && 2*heard > electorate
+	o.enough = whole > 0 && (2*whole > electorate || since > oneIsEnough)
 	return o
 }
 
--- a/internal/linefinder/finder_test.go
+++ b/internal/linefinder/finder_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,12 +26,15 @@
 type core struct {
 	mu    sync.Mutex
 	nodes map[string]*node
+
+	voters []string // as all tell
 }
 
 type node struct {
 	feed.Source
 	addr  string
 	out   bool
+	held  atomic.Bool // in contact with a majority
 	conns []net.Conn
 	adds  []string // counters added to
 	ready map[string]bool
@@ -39,8 +43,10 @@
 func (c *core) start(n int, quorum bool) *node {
 	addr := fmt.Sprintf("10.0.0.%d:7560", n)
 	x := &node{addr: addr, ready: map[string]bool{}}
-	x.Source = feed.Source{Store: feed.NewStore(uint64(100 + n)), Clock: feed.NewClock(func() float64 { return 5 }),
-		Ready: func() bool { return true }, Quorum: func() bool { return quorum }, Members: func() int { return 10 + n },
+	x.held.Store(quorum)
+	began := time.Now()
+	x.Source = feed.Source{Store: feed.NewStore(uint64(100 + n)), Clock: feed.NewClock(func() float64 { return 5 + time.Since(began).Seconds() }),
+		Ready: func() bool { return true }, Quorum: x.held.Load, Voters: func() []string { return c.voters }, Members: func() int { return 10 + n },
 		Renewed: func(h *trunk.Hello, ready bool) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
@@ -114,7 +120,9 @@
 		pass(10 * time.Second)
 		is.Equal(store.Book().Len(), 1)
 		is.True(!proxy.State().Ready && !proxy.State().Quorum)
+		is.Equal(proxy.State().Members, 0) // nor do its counts count
 		two := c.start(2, true)
+		one.held.Store(true)
 		pass(3 * time.Second)
 		is.Equal(store.Book().Len(), 2)
 		is.True(proxy.State().Ready && proxy.State().Quorum)
@@ -174,7 +182,7 @@
 	is := is.New(t)
 	now := time.Unix(100, 0)
 	said := func(ago time.Duration, whole, quorum bool) word {
-		return word{addr: "a", up: true, whole: whole, State: feed.State{Life: 1, Quorum: quorum, Heard: now.Add(-ago)}}
+		return word{addr: "a", up: true, whole: whole, State: feed.State{Life: 1, Ready: whole, Quorum: quorum, Heard: now.Add(-ago)}}
 	}
 	never := word{}
 	for _, x := range []struct {
--- a/internal/office/feed/client.go
+++ b/internal/office/feed/client.go
@@ -15,14 +15,15 @@
 )
 
 const (
-	firstDial = 200 * time.Millisecond // a machine without power does not answer, and may be back the next moment: an opening packet is sent again after 1 s
-	dialIn    = time.Second
-	renewEach = 400 * time.Millisecond // at the first feed so long after the last one; feeds come each half second at least
-	tellAfter = 3 * time.Second        // from the whole of a new life of a source until it is told what it still lacks
-	tellAway  = time.Minute            // without word of a source, after which it may have forgotten what changed
-	mostTold  = 2048                   // lines told to one source at once
-	toldEach  = 256                    // lines in one frame
-	longName  = 4096                   // bytes of an item's name
+	firstDial  = 200 * time.Millisecond // a machine without power does not answer, and may be back the next moment: an opening packet is sent again after 1 s
+	dialIn     = time.Second
+	renewEach  = 400 * time.Millisecond // at the first feed so long after the last one; feeds come each half second at least
+	tellAfter  = 3 * time.Second        // from the whole of a new life of a source until it is told what it still lacks
+	tellAway   = time.Minute            // without word of a source, after which it may have forgotten what changed
+	mostTold   = 2048                   // lines told to one source at once
+	toldEach   = 256                    // lines in one frame
+	longName   = 4096                   // bytes of an item's name
+	mostVoters = 64
 )
 
 // Pauses between two tries at a connection.
@@ -72,7 +73,8 @@
 	Epoch   uint64
 	Rank    int       // of this process's ingress among those of its zone
 	Peers   int       // 0: it has no rank
-	Heard   time.Time // of the last feed; only for spans, which are of the steady clock
+	Voters  []string  // the electorate, as it told it last
+	Heard   time.Time // when it sent the last feed, by the common clock; only for spans, which are of the steady clock
 }
 
 // Within tells whether a source was heard so recently.
@@ -213,7 +215,11 @@
 		c.merge(f)
 	}
 	c.mu.Lock()
-	c.state = State{f.Life, f.Seq, f.Members, f.Ready, f.Quorum, f.Whole, f.Epoch, f.Rank, f.Peers, now}
+	voters := old.Voters
+	if n := len(f.Voters); n > 0 && n <= mostVoters {
+		voters = f.Voters
+	}
+	c.state = State{f.Life, f.Seq, f.Members, f.Ready, f.Quorum, f.Whole, f.Epoch, f.Rank, f.Peers, voters, now.Add(-c.Clock.Since(f.Clock))}
 	c.conn = s.conn
 	c.mu.Unlock()
 	if c.OnFeed != nil {
--- a/internal/office/feed/clock.go
+++ b/internal/office/feed/clock.go
@@ -6,6 +6,7 @@
 import (
 	"math"
 	"sync"
+	"time"
 )
 
 const (
@@ -57,3 +58,11 @@
 	}
 	c.learned = true
 }
+
+// Since returns how long ago a clock showed a time. What lay in a buffer while this process stood still is as old as it is.
+func (c *Clock) Since(remote float64) time.Duration {
+	if by := c.Now() - remote; by > 0 {
+		return time.Duration(min(by, atMost) * float64(time.Second))
+	}
+	return 0
+}
--- a/internal/office/feed/source.go
+++ b/internal/office/feed/source.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"slices"
 	"time"
 
 	"mulleinrouter/internal/office/lines"
@@ -33,6 +34,7 @@
 	Learn   func(ls []lines.Line)                                 // lines that a subscriber knows and this source may have lost; nil: not wanted
 	Renewed func(hello *trunk.Hello, ready bool)                  // an agent or a proxy renewed its lease; nil: nobody asks
 	Place   func(node string) (rank, peers int)                   // of a subscriber in its zone; nil: nobody has one
+	Voters  func() []string                                       // the electorate, as it is told to agents; it is never changed in place; nil: none is told
 	Beats   func(since uint64) (heard []trunk.Heard, last uint64) // for control nodes: lines.Registry.Recent; nil: none
 }
 
@@ -82,12 +84,18 @@
 	timer := time.NewTimer(trunk.Beat)
 	defer timer.Stop()
 	var lastBeats time.Time
+	var voters []string // as told last
 	for {
 		news := s.Store.Changed()
 		f := s.status()
 		if s.Place != nil {
 			f.Rank, f.Peers = s.Place(hello.Node)
 		}
+		if s.Voters != nil && hello.Class != Control {
+			if now := s.Voters(); !slices.Equal(now, voters) {
+				voters, f.Voters = now, now
+			}
+		}
 		f.Items, f.Lines, seq, f.Whole = s.Store.Since(seq, pieceOf)
 		f.Seq = seq
 		at := time.Now()
--- a/internal/office/trunk/frame.go
+++ b/internal/office/trunk/frame.go
@@ -62,6 +62,7 @@
 	Quorum  bool             `cbor:"11,keyasint,omitempty"` // the source hears more than half of the core
 	Rank    int              `cbor:"12,keyasint,omitempty"` // of the subscriber among the ingresses of its zone, from 0
 	Peers   int              `cbor:"13,keyasint,omitempty"` // ingresses in its zone, with it; 0: it has no rank
+	Voters  []string         `cbor:"14,keyasint,omitempty"` // control addresses of the electorate, as the source knows it; none: as told before
 }
 
 // Heard is a beat of a server, told among control nodes.
--- a/internal/switchboard/office.go
+++ b/internal/switchboard/office.go
@@ -70,8 +70,8 @@
 		o.rank, o.peers = f.Rank, f.Peers
 		o.engine.Place(f.Rank, f.Peers)
 	}
-	if f.Quorum {
-		o.quorum.Store(int64(time.Since(o.base)))
+	if f.Quorum { // as of when it was sent: this process may have stood still
+		o.quorum.Store(int64(time.Since(o.base) - o.client.Clock.Since(f.Clock)))
 	}
 	if f.Whole && f.Ready && o.table.Load().Routes() > 0 && o.whole.CompareAndSwap(false, true) {
 		close(o.ready)
--- a/internal/tandem/node.go
+++ b/internal/tandem/node.go
@@ -124,7 +124,7 @@
 		voters, _ := n.voter.electorate()
 		return voters
 	})
-	n.source = &feed.Source{Store: n.store, Clock: n.clock, Ready: n.ready, Quorum: n.held, Learn: n.roll.learn, Renewed: n.leases.renewed,
+	n.source = &feed.Source{Store: n.store, Voters: n.contact.voters, Clock: n.clock, Ready: n.ready, Quorum: n.held, Learn: n.roll.learn, Renewed: n.leases.renewed,
 		Beats: n.roll.recent, Place: n.place, Members: n.ingresses}
 	return n, nil
 }
