Explore copies of answers, streamed bodies, writes that break and patience on a leaving machine

link.Link has a state for a served answer whose body is read as it comes (Streams, Streamed): what upstream.Stream held in two flags. upstream.Pool counts a server as tried once the request was written whole to it, so that a further attempt that nothing was sent of may take a kept connection.

Seeded faults: 7 more, all found (other-kept, cut-kept, stream-more-kept, unnamed-kept, others-endless, planned-untold, impatient-always).

--- a/internal/attempt/desk.go
+++ b/internal/attempt/desk.go
@@ -196,11 +196,15 @@
 
 // Impatient tells whether the attempt that is out is to be given up, the patience with it having run out. What cannot be sent again is not.
 func (d *Desk) Impatient(now passhub.Seconds, q *Request) bool {
-	return q.life.phase == Out && !q.life.Once && !q.life.spent && d.gateway.Impatient(now, q.id)
+	return q.life.phase == Out && !q.life.Once && !q.life.spent && (d.gateway.Impatient(now, q.id) || mutated("impatient-always"))
 }
 
 // Planned tells that something planned is under way, until a time: see passhub.Gateway.Planned.
-func (d *Desk) Planned(till passhub.Seconds) { d.gateway.Planned(till) }
+func (d *Desk) Planned(till passhub.Seconds) {
+	if !mutated("planned-untold") {
+		d.gateway.Planned(till)
+	}
+}
 
 // Arrived tells that the body of a request has gone out whole: the quote server's time counts from now on.
 func (d *Desk) Arrived(now passhub.Seconds, q *Request) {
--- a/internal/explore/events.go
+++ b/internal/explore/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 
 	"mulleinrouter/internal/link"
@@ -20,7 +21,8 @@
 	"200", "200-and-close", "200-and-more", "500", "503-not-processed", "504-not-processed", "503", "interim", "spoilt",
 	"breaks", "breaks-early", "speaks-early", "last-byte", "time-out", "cancel-lands", "leaves", "retries",
 	"connects", "refuses-late", "drains", "gone", "address-taken", "refuses", "forgets", "list-again",
-	"timer", "time", "counted", "count-busy", "count-late", "count-no-number", "plan", "sigterm", "patience",
+	"timer", "time", "impatient", "other-answer", "503-unnamed", "200-long", "stream-whole", "stream-more", "stream-cut", "stream-left",
+	"goes-out", "breaks-in-send", "counted", "count-busy", "count-late", "count-no-number", "plan", "sigterm", "patience",
 }
 
 // Events are those that may happen now, in a fixed order.
@@ -31,6 +33,14 @@
 		if t := c.try; t != nil && t.conn != nil {
 			w.attemptEvents(id, i, t, add)
 		}
+		if c.stream != nil {
+			for _, e := range []struct {
+				name        string
+				whole, more bool
+			}{{"stream-whole", true, false}, {"stream-more", true, true}, {"stream-cut", false, false}, {"stream-left", false, false}} {
+				add(e.name+id, func(w *World) { w.streamed(w.clients[i], e.whole, e.more) })
+			}
+		}
 		if !c.gone && !c.finished {
 			add("leaves"+id, func(w *World) {
 				c := w.clients[i]
@@ -110,7 +120,10 @@
 		w.do(w.desk.Handle(w.now, passhub.Terms{Customer: "m", Plan: p, Tag: p.Tag()}))
 	})
 	if !w.draining {
-		add("sigterm", func(w *World) { w.draining = true })
+		add("sigterm", func(w *World) {
+			w.draining = true
+			w.desk.Planned(math.Inf(1))
+		})
 	} else if !w.halted {
 		add("patience", func(w *World) { // every attempt that is out, or will be, is given up
 			w.halted = true
@@ -171,10 +184,25 @@
 		}
 		return
 	}
+	if t.stage == sending { // one write: it has gone out whole, or broke before its last byte
+		on("goes-out", func(w *World, t *try, k *conn) { w.written(t) })
+		on("breaks-in-send", func(w *World, t *try, k *conn) {
+			k.spoilt = true
+			w.memory.Lost(t.backend, w.now)
+			w.finish(t, k, k.Unwritten(map[bool]link.Trouble{false: link.Broke, true: link.Cancelled}[t.cancelled]))
+		})
+		return
+	}
 	if t.stage == uploading {
 		w.uploadEvents(on)
 		return
 	}
+	if t.patience > 0 {
+		on("impatient", func(w *World, t *try, k *conn) { w.impatient(t, k) })
+	}
+	if w.config.Odd {
+		w.oddEvents(on)
+	}
 	for _, a := range []struct {
 		name   string
 		answer link.Answer
@@ -185,6 +213,7 @@
 	} {
 		on(a.name, func(w *World, t *try, k *conn) {
 			k.spoilt = k.spoilt || a.answer.Close || a.answer.More || t.cancelled // a deadline that may be changed at any time
+			k.refused = a.answer.NotProcessed
 			if a.answer.NotProcessed {
 				t.client.mayRun-- // it never ran
 			}
@@ -218,6 +247,33 @@
 	}
 }
 
+// oddEvents are what servers send beside what is asked for, and answers that are read as they come.
+func (w *World) oddEvents(on func(string, func(w *World, t *try, k *conn))) {
+	on("503-unnamed", func(w *World, t *try, k *conn) {
+		k.unnamed, k.refused, k.spoilt = true, true, k.spoilt || t.cancelled
+		t.client.mayRun--
+		w.finish(t, k, k.Answered(link.Answer{Status: 503, NotProcessed: true}, t.cancelled))
+	})
+	on("200-long", func(w *World, t *try, k *conn) {
+		k.refused, k.spoilt = false, k.spoilt || t.cancelled
+		w.finish(t, k, k.Streams(link.Answer{Status: 200}, t.cancelled))
+	})
+	on("other-answer", func(w *World, t *try, k *conn) { // a copy of the answer before stands in this one's place
+		if k.refused && (k.unnamed || k.before == t.client) { // by its name, or for want of one, it cannot be told from this one's
+			k.spoilt = true
+			w.finish(t, k, k.Answered(link.Answer{Status: 503, NotProcessed: true}, t.cancelled))
+			return
+		}
+		k.spoilt = true
+		if t.others++; t.others > 8 {
+			w.violate("bounded", "%s has passed over %d answers to others", t.client.name, t.others)
+		}
+		if !k.Other() {
+			w.finish(t, k, k.Unanswered(link.Malformed))
+		}
+	})
+}
+
 // uploadEvents are what may become of a body that goes up.
 func (w *World) uploadEvents(on func(string, func(w *World, t *try, k *conn))) {
 	on("up", func(w *World, t *try, k *conn) { w.written(t) })
--- a/internal/explore/explore.go
+++ b/internal/explore/explore.go
@@ -67,6 +67,12 @@
 			}
 		}
 	}
+	for _, servers := range []int{1, 2} { // what nobody asked for comes, and what is long
+		for _, send := range []bool{false, true} {
+			all = append(all, Config{Servers: servers, Send: [2]bool{send}, Kept: true, Odd: true})
+		}
+	}
+	all = append(all, Config{Servers: 1, Two: true, Send: [2]bool{false, true}, Full: true, Odd: true})
 	for _, servers := range []int{1, 2} { // while a connection comes up, the list may change and the client leave
 		for _, send := range []bool{false, true} {
 			all = append(all, Config{Servers: servers, Send: [2]bool{send}, Dials: true})
--- a/internal/explore/mutants_test.go
+++ b/internal/explore/mutants_test.go
@@ -3,6 +3,7 @@
 package explore
 
 import (
+	"slices"
 	"strings"
 	"testing"
 
@@ -22,6 +23,7 @@
 	{&link.Mutant, "early-kept"}, {&attempt.Mutant, "spent-untold"}, {&link.Mutant, "taken-stays"}, {&link.Mutant, "put-twice"}, {&link.Mutant, "gone-uncounted"},
 	{&attempt.Mutant, "deserted-waits"}, {&attempt.Mutant, "left-is-over"}, {&attempt.Mutant, "ended-stays"}, {&attempt.Mutant, "gone-untold"},
 	{&attempt.Mutant, "fail-refuses"}, {&attempt.Mutant, "cancel-lost"}, {&attempt.Mutant, "no-time-out"}, {&attempt.Mutant, "leaving-untold"},
+	{&link.Mutant, "other-kept"}, {&link.Mutant, "cut-kept"}, {&link.Mutant, "stream-more-kept"}, {&attempt.Mutant, "planned-untold"}, {&attempt.Mutant, "impatient-always"},
 }
 
 // Every fault that is seeded in the clients' connections is found.
@@ -65,6 +67,35 @@
 	}
 }
 
+// Seeded faults that only a longer order shows, and no property without them.
+func TestMutantsFarOff(t *testing.T) {
+	for _, m := range []struct {
+		where       *string
+		name, world string
+		events      string
+		want        string
+	}{
+		{&link.Mutant, "unnamed-kept", "send servers=1 odd", "last-byte c1, 503-unnamed c1, retries c1, time, last-byte c2, other-answer c2", "refusal-is-harmless"},
+		{&link.Mutant, "others-endless", "send servers=1 odd", "last-byte c1" + strings.Repeat(", other-answer c1", 9), "bounded"},
+	} {
+		t.Run(m.name, func(t *testing.T) {
+			defer func() { *m.where = "" }()
+			c, err := ParseConfig(m.world)
+			if err != nil {
+				t.Fatal(err)
+			}
+			events := strings.Split(m.events, ", ")
+			for _, *m.where = range []string{m.name, ""} {
+				violations, happened := Replay(c, events)
+				found := slices.ContainsFunc(violations, func(v Violation) bool { return v.Property == m.want })
+				if found != (*m.where != "") || *m.where == "" && len(violations) > 0 {
+					t.Errorf("with %q seeded, %q violates %v, want %s", *m.where, happened, violations, m.want)
+				}
+			}
+		})
+	}
+}
+
 // A long body whose first bytes leave after the news of a drain is found, though one that had begun before may go on.
 func TestLongBodyAfterDrain(t *testing.T) {
 	defer func() { link.Mutant = "" }()
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -15,13 +15,14 @@
 
 // The states. On a connection that is Ended nothing more is written or read.
 const (
-	Idle     State = iota // up; no request is on it
-	Writing               // a request goes out; its last byte has not
-	Awaiting              // a request has been written whole, its answer is awaited
+	Idle      State = iota // up; no request is on it
+	Writing                // a request goes out; its last byte has not
+	Awaiting               // a request has been written whole, its answer is awaited
+	Streaming              // it is served; the body of the answer is read as it comes
 	Ended
 )
 
-var states = [...]string{"idle", "writing", "awaiting", "ended"}
+var states = [...]string{"idle", "writing", "awaiting", "streaming", "ended"}
 
 func (s State) String() string { return states[s] }
 
@@ -61,7 +62,8 @@
 type Link struct {
 	state  State
 	uses   int
-	others int // answers to other requests that came on it
+	others int  // answers to other requests that came on it
+	last   bool // streaming: it is not used again, however the body ends
 }
 
 // State tells where it is.
@@ -95,7 +97,7 @@
 
 // Fit is what is known of a kept connection and the request that is to go out on it, where answers name the request that they are for.
 type Fit struct {
-	Again   bool // an attempt of the same request, so under the same name, has been made at this server
+	Again   bool // the same request, so one under the same name, has been written to this server before
 	Once    bool // the request must not run twice
 	Unnamed bool // an answer without a name has come on the connection
 }
@@ -103,7 +105,7 @@
 // Fits tells whether a kept connection may be taken. A copy of an earlier answer may come on it in the place of the next: where the name does
 // not tell the two apart, an old refusal would be taken for the word that the new request has not run.
 func Fits(f Fit) bool {
-	return (!f.Again || mutated("again-kept")) && !(f.Once && f.Unnamed && !mutated("unnamed-kept"))
+	return !f.Again && !(f.Once && f.Unnamed && !mutated("unnamed-kept"))
 }
 
 // Other tells that an answer to another request came in this one's place. On: it is passed over, for this one's may be behind it; the
@@ -113,7 +115,7 @@
 		return false
 	}
 	l.others++
-	return l.others <= mostOthers
+	return l.others <= mostOthers || mutated("others-endless")
 }
 
 // mostOthers bounds the answers to other requests that are passed over before this one's: a server could send them without end.
@@ -197,6 +199,29 @@
 	return v
 }
 
+// Streams is the end of an attempt by an answer whose body is read as it comes: it is served. The connection stays in use until Streamed.
+func (l *Link) Streams(a Answer, cancelled bool) Verdict {
+	v := l.Answered(a, cancelled)
+	if v.Err == nil {
+		l.state, l.last, v.Keep = Streaming, !v.Keep, false
+	}
+	return v
+}
+
+// Streamed is the end of such a body: whole, or cut from either side; more: bytes came behind it.
+func (l *Link) Streamed(whole, more bool) Verdict {
+	kept := l.state == Streaming && !l.last
+	l.state = Ended
+	switch {
+	case !whole && !mutated("cut-kept"):
+		return Verdict{Code: "upstream-stream-cut"}
+	case more && !mutated("stream-more-kept"), !kept:
+		return Verdict{Code: "upstream-stream-ended"}
+	}
+	l.state = Idle
+	return Verdict{Keep: true}
+}
+
 // Outcome is what an answer means (PROTOCOL, "Ingresses to quote servers").
 func Outcome(a Answer) passhub.Outcome {
 	switch {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -80,6 +80,68 @@
 	}
 }
 
+// A kept connection is taken where the names of answers tell a copy of an earlier one from the request's own.
+func TestFits(t *testing.T) {
+	for _, tc := range []struct {
+		f    Fit
+		want bool
+	}{
+		{Fit{}, true}, {Fit{Once: true}, true}, {Fit{Unnamed: true}, true}, {Fit{Once: true, Unnamed: true}, false},
+		{Fit{Again: true}, false}, {Fit{Again: true, Once: true}, false}, {Fit{Again: true, Unnamed: true}, false}, {Fit{Again: true, Once: true, Unnamed: true}, false},
+	} {
+		if got := Fits(tc.f); got != tc.want {
+			t.Errorf("%+v: %v", tc.f, got)
+		}
+	}
+}
+
+// Answers to others and streamed bodies: what becomes of the connection.
+func TestOthersAndStreams(t *testing.T) {
+	for _, tc := range []struct {
+		name          string
+		others        int
+		close, cancel bool
+		whole, more   bool
+		want          Verdict
+	}{
+		{"whole", 0, false, false, true, false, Verdict{Keep: true}},
+		{"cut", 0, false, false, false, false, Verdict{Code: "upstream-stream-cut"}},
+		{"more behind it", 0, false, false, true, true, Verdict{Code: "upstream-stream-ended"}},
+		{"the server closes", 0, true, false, true, false, Verdict{Code: "upstream-stream-ended"}},
+		{"given up meanwhile", 0, false, true, true, false, Verdict{Code: "upstream-stream-ended"}},
+		{"behind another's answer", 1, false, false, true, false, Verdict{Code: "upstream-stream-ended"}},
+		{"behind four", 4, false, false, true, false, Verdict{Code: "upstream-stream-ended"}},
+	} {
+		l := &Link{}
+		if l.Other() || l.Streamed(true, false).Keep {
+			t.Errorf("%s: before anything was written", tc.name)
+		}
+		*l = Link{}
+		l.Begin()
+		l.Written()
+		for range tc.others {
+			if !l.Other() {
+				t.Errorf("%s: not passed over", tc.name)
+			}
+		}
+		v := l.Streams(Answer{Status: 200, Close: tc.close}, tc.cancel)
+		if v.Keep || v.Outcome != passhub.Done || l.State() != Streaming || l.Begin() == nil {
+			t.Errorf("%s: %+v, %v", tc.name, v, l.State())
+		}
+		if got := l.Streamed(tc.whole, tc.more); got != tc.want || (l.State() == Idle) != tc.want.Keep {
+			t.Errorf("%s: %+v, want %+v", tc.name, got, tc.want)
+		}
+	}
+	l := &Link{}
+	l.Begin()
+	l.Written()
+	for n := range 6 {
+		if l.Other() != (n < mostOthers) {
+			t.Errorf("the other answer %d", n)
+		}
+	}
+}
+
 func TestHold(t *testing.T) {
 	var m Memory
 	m.Lost("bad", 100)
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -28,7 +28,6 @@
 	pool *Pool
 	c    *conn
 	body *http1.Body
-	keep bool // the connection may serve again once the body is read to its end
 	end  bool // read to its end
 	done bool
 }
@@ -52,13 +51,9 @@
 		return
 	}
 	s.done = true
-	if s.end && s.keep && s.c.reader.Buffered() == 0 {
+	if v := s.c.Streamed(s.end, s.c.reader.Buffered() > 0); v.Keep {
 		s.pool.put(s.c)
-		return
-	}
-	code := "upstream-stream-ended"
-	if !s.end {
-		code = "upstream-stream-cut"
+	} else {
+		s.pool.close(s.c, v.Code, nil)
 	}
-	s.pool.close(s.c, code, nil)
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -110,7 +110,7 @@
 	Upload             Upload               // a body that is too long to be held; Body is then nil
 	Patience           Patience             // with the attempt that it is handed over for
 
-	tried []string // servers at which attempts of it were made
+	tried []string // servers to which it was written whole
 }
 
 // safe tells whether its method is one that may be repeated, and has no body as a rule.
@@ -138,7 +138,6 @@
 	writes, fit := 0, link.Fit{Once: m.Once}
 	if p.Dialect.ID != "" {
 		fit.Again = slices.Contains(m.tried, backend)
-		m.tried = append(m.tried, backend)
 	}
 	for {
 		c, err := p.get(ctx, backend, until, fit)
@@ -150,7 +149,7 @@
 		v, head, body, err := p.attempt(ctx, c, m, until, &writes)
 		err = cmp.Or(err, v.Err)
 		if p.streams(m, head) {
-			s := &Stream{pool: p, c: c, keep: v.Keep && !head.Close, body: c.reader.Stream(head)}
+			s := &Stream{pool: p, c: c, body: c.reader.Stream(head)}
 			s.Length = s.body.Length
 			return Result{Outcome: v.Outcome, Answered: v.Answered, Writes: writes, Head: head, Stream: s}
 		}
@@ -204,7 +203,9 @@
 		return c.Unwritten(link.Broke), nil, nil, err
 	}
 	c.Written()
-	*writes++
+	if *writes++; p.Dialect.ID != "" {
+		m.tried = append(m.tried, c.backend)
+	}
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(longAgo) })
 	lapse := m.Patience.with(c)
 	a, head, body, err := p.read(c, m)
@@ -219,6 +220,9 @@
 	}
 	c.answered = p.now()
 	c.unnamed = c.unnamed || p.Dialect.ID != "" && head.Header.Get(p.Dialect.ID) == ""
+	if p.streams(m, head) {
+		return c.Streams(a, cancelled), head, nil, nil
+	}
 	return c.Answered(a, cancelled), head, body, nil
 }
 
