Answer a request that was read while the door closes, where its client was not told to go

Cause: a connection whose last answer had said nothing of an end (its head went out before the close) ended as it became idle, in ingress.conn.run, though the watcher had read the next request by then: LOST on a leaving machine (a process has read a whole request, and the connection ends without an answer). So did one that was idle at the close, or due for its rest, with bytes of a request here unread.

client.Times.Hears, set by the system's dialect and off in service: such a connection first hears the watcher's word; what has begun to come is taken, and its answer says that it is the last.

--- a/internal/client/conn.go
+++ b/internal/client/conn.go
@@ -55,6 +55,9 @@
 type Times struct {
 	Silent, Idle float64 // until its first byte; between requests
 	Head         float64 // for the head of a request
+
+	// Hears: a connection whose client was not told that it ends is not ended over a request that has begun to come.
+	Hears bool
 }
 
 // usual are those of a deployment that states none.
@@ -80,6 +83,7 @@
 	fresh bool            // no request has come in whole
 	asks  bool            // idle, but bytes of a request are here
 	code  string          // why it is being ended from here; "": it is not
+	told  bool            // that the last answer is the last
 	pace  Pace
 	times *Times // nil: the usual ones
 }
@@ -99,7 +103,8 @@
 // Cut is what is to be cut short on a connection, so that whoever waits on it hears.
 type Cut struct{ Reads, Writes bool }
 
-// Enter moves it to a state. On tells whether it goes on: where not, it is to be ended now. Freed: the cut of its reads is
+// Enter moves it to a state. On tells whether it goes on: where not, it is to be ended now, or, idle and one that Hears, once it is known that
+// no request has begun to come. Freed: the cut of its reads is
 // to be undone, for a request had begun to come in as it was ended as unused: taken is taken, and it is the last. An error
 // is ErrStep: the state is entered all the same, and the connection ends with the answer that is under way.
 func (c *Conn) Enter(to State, now passhub.Seconds, keepOpen bool) (on, freed bool, err error) {
@@ -110,7 +115,7 @@
 	if to == Idle && !keepOpen && c.code == "" && !mutated("drained-stays") {
 		c.code = CodeDrain
 	}
-	if to == Idle && c.code != "" {
+	if to == Idle && c.code != "" && !c.Hears() {
 		return false, false, err
 	}
 	freed = c.code != "" && (to == Head || to == Body || to == Deciding || to == Uploading || to == Skipping) && !mutated("taken-is-cut")
@@ -121,7 +126,12 @@
 		c.pace = Pace{Long: to != Body}
 	}
 	c.state, c.asks = to, false
-	return true, freed, err
+	return to != Idle || c.code == "", freed, err
+}
+
+// Hears tells whether a request that has begun to come on it while it is idle is heard, whatever would end it.
+func (c *Conn) Hears() bool {
+	return c.times != nil && c.times.Hears && !c.told && !mutated("asked-dropped")
 }
 
 // End ends it from here. What is cut short depends on where it is: a request in hand keeps its answer.
@@ -171,7 +181,8 @@
 	if c.code == "" && crowded {
 		c.code = CodeRoom
 	}
-	return c.code != "" && !mutated("last-kept") || !keepOpen
+	c.told = c.code != "" && !mutated("last-kept") || !keepOpen
+	return c.told
 }
 
 // Began tells that bytes of a request are here that nobody has read yet: in a rush they may be for long.
--- a/internal/explore/client.go
+++ b/internal/explore/client.go
@@ -12,8 +12,10 @@
 	machine clientconn.Conn
 	now     passhub.Seconds
 	keep    bool // connections stay open
+	hears   bool // one that was not told to end is not ended over what has begun to come
 	crowded bool
 
+	next     bool // while a request is in hand, the first bytes of the next one have been read
 	cut      bool // its reads are cut short, and nobody has noticed yet
 	rest     bool // of a long body, something is not read
 	told     bool // that its answer is the last
@@ -168,9 +170,9 @@
 		clientconn.Idle:      {"begins"},
 		clientconn.Head:      {"no-body", "body", "long-body", "broken"},
 		clientconn.Body:      {"piece", "byte", "body-whole", "broken"},
-		clientconn.Deciding:  {"answer", "upload"},
+		clientconn.Deciding:  {"answer", "upload", "next"},
 		clientconn.Uploading: {"piece", "byte", "up", "early-answer", "broken"},
-		clientconn.Answering: {"written"},
+		clientconn.Answering: {"written", "next"},
 		clientconn.Skipping:  {"piece", "byte", "rest-read"},
 	}[w.machine.State()]...)
 }
@@ -219,6 +221,8 @@
 		if w.rest {
 			w.take(clientconn.Uploading)
 		}
+	case "next":
+		w.next = true
 	case "up":
 		w.piece(1)
 		w.rest = false
@@ -246,26 +250,36 @@
 
 func (w *clientWorld) idle() {
 	w.begun = w.now
-	if !w.enter(clientconn.Idle) {
-		w.ended = true
-	} else if w.told {
+	on := w.enter(clientconn.Idle)
+	switch hears := w.machine.Hears(); {
+	case on && w.told:
 		w.violate("last-is-last", "it goes on after its last answer")
+	case w.next && (on || hears):
+		w.next, w.cut = false, w.cut || !on
+		w.step("begins")
+	case !on:
+		if w.next && !w.told && w.hears {
+			w.violate("read-is-taken", "a request has been read, its client was not told to go, and it is dropped")
+		}
+		w.ended = true
 	}
 }
 
-// Clients drives the machine of a client's connection through every order of so many events. It returns how many orders
-// there were, and the shortest one that violates a property, with what it violates; nil: none does.
+// Clients drives the machine of a client's connection, as it is in service and where it hears what has begun to come, through every order of
+// so many events. It returns how many orders there were, and the shortest one that violates a property, with what it violates; nil: none does.
 func Clients(depth int) (orders int, trace []string, violation *Violation) {
 	type run struct {
 		world clientWorld
 		trace []string
 	}
-	level := []run{{world: clientWorld{machine: clientconn.Accepted(0), keep: true}}}
+	hears := clientWorld{machine: clientconn.Accepted(0), keep: true, hears: true}
+	hears.machine.Keep(&clientconn.Times{Silent: 2, Idle: 2, Head: 2.5, Hears: true})
+	level := []run{{world: clientWorld{machine: clientconn.Accepted(0), keep: true}}, {world: hears}}
 	for range depth {
 		var next []run
 		for _, r := range level {
 			for _, e := range r.world.events() {
-				w := r.world // a copy: the machine holds no pointers
+				w := r.world // a copy: the machine points to nothing that changes
 				w.step(e)
 				trace := append(r.trace[:len(r.trace):len(r.trace)], e)
 				if w.violation != nil {
--- a/internal/explore/mutants_test.go
+++ b/internal/explore/mutants_test.go
@@ -29,7 +29,7 @@
 // Every fault that is seeded in the clients' connections is found.
 func TestClientMutants(t *testing.T) {
 	defer func() { clientconn.Mutant = "" }()
-	for _, clientconn.Mutant = range []string{"drained-stays", "taken-is-cut", "head-for-ever", "busy-spared", "stall-for-ever", "trickle-for-ever", "last-kept"} {
+	for _, clientconn.Mutant = range []string{"drained-stays", "taken-is-cut", "head-for-ever", "busy-spared", "stall-for-ever", "trickle-for-ever", "last-kept", "asked-dropped"} {
 		_, trace, violation := Clients(6)
 		if violation == nil {
 			t.Errorf("%s lives: a property is missing", clientconn.Mutant)
--- a/internal/ingress/conn.go
+++ b/internal/ingress/conn.go
@@ -58,6 +58,20 @@
 	return on
 }
 
+// hears tells whether a connection that is to end as it becomes idle first waits for the watcher's word. It comes at once: the next request has
+// begun, or nothing of it is here.
+func (c *conn) hears() bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	if !c.life.Hears() {
+		return false
+	}
+	if !c.begun() {
+		c.SetReadDeadline(longAgo)
+	}
+	return true
+}
+
 // ended tells why the connection is being ended from outside, if it is.
 func (c *conn) ended() string {
 	c.server.mu.Lock()
@@ -95,7 +109,7 @@
 			go c.watcher()
 		}
 		if code, err = c.serve(r); err == nil && code == "" {
-			if !c.to(client.Idle) {
+			if !c.to(client.Idle) && !c.hears() {
 				break
 			}
 			err = <-c.arrived
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -317,7 +317,7 @@
 	taken := s.life.Handle(e)
 	if !s.life.KeepOpen() {
 		for c := range s.conns {
-			if c.life.Drains() {
+			if c.life.Drains() && !(c.life.Hears() && c.begun()) {
 				c.end(client.CodeDrain)
 			}
 		}
--- a/internal/ingress/room.go
+++ b/internal/ingress/room.go
@@ -91,7 +91,7 @@
 	defer s.mu.Unlock()
 	now := s.seconds(at)
 	for c := range s.conns {
-		if code := c.life.Due(now); code != "" {
+		if code := c.life.Due(now); code != "" && !(c.life.State() == client.Idle && c.life.Hears() && c.begun()) {
 			c.end(code)
 		}
 	}
--- a/internal/switchboard/answers_test.go
+++ b/internal/switchboard/answers_test.go
@@ -12,7 +12,10 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"mulleinrouter/internal/engine"
+	"mulleinrouter/internal/exchange"
 	"mulleinrouter/internal/http1"
 	"mulleinrouter/internal/ingress"
 	"mulleinrouter/internal/upstream"
@@ -20,7 +23,7 @@
 )
 
 // chained is a proxy whose one server is the function given: it is called with each connection, and ends it by coming back.
-func chained(t *testing.T, serve func(nc *net.TCPConn, r *http1.Reader)) (front string) {
+func chained(t *testing.T, serve func(nc *net.TCPConn, r *http1.Reader)) (front string, server *ingress.Server) {
 	t.Helper()
 	listen := func() net.Listener {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -51,12 +54,12 @@
 	pool := upstream.New(func(string) (string, bool) { return back.Addr().String(), true },
 		upstream.Limits{Connections: 99, ConnectTimeout: time.Second, Keepalive: time.Minute}, quiet())
 	pool.Dialect = upstream.Dialect{Begin: begin, Meaning: meaning, ID: keyID}
-	server := ingress.New(s, e, pool, 99, quiet())
+	server = ingress.New(s, e, pool, 99, quiet())
 	server.Speak(speech.dialect())
 	server.Started()
 	go server.Serve(client)
 	t.Cleanup(func() { server.Drain(time.Second, 0) })
-	return client.Addr().String()
+	return client.Addr().String(), server
 }
 
 // asked sends a request that must not run twice, and reads its answer as far as it comes.
@@ -86,7 +89,7 @@
 		"with no end but that": {own + "\r\nhello", "\x00"}, // it may have been cut short: never a success
 	} {
 		t.Run(name, func(t *testing.T) {
-			front := chained(t, func(nc *net.TCPConn, r *http1.Reader) {
+			front, _ := chained(t, func(nc *net.TCPConn, r *http1.Reader) {
 				q, err := r.Head()
 				if err != nil || r.ReadBody(q) != nil {
 					return
@@ -160,7 +163,7 @@
 			for _, second := range tricks {
 				var mu sync.Mutex
 				runs := map[string]int{}
-				front := chained(t, func(nc *net.TCPConn, r *http1.Reader) {
+				front, _ := chained(t, func(nc *net.TCPConn, r *http1.Reader) {
 					for before, last := "i-none", ""; ; {
 						q, err := r.Head()
 						if err != nil || r.ReadBody(q) != nil {
@@ -209,3 +212,49 @@
 		})
 	}
 }
+
+// TestReadIsTaken has a client's next request come while the answer to the one before goes out, and the machine close its door meanwhile: the
+// client was not told to go, so the request is answered, on a connection that ends with it.
+func TestReadIsTaken(t *testing.T) {
+	is := is.New(t)
+	rest := make(chan bool)
+	front, server := chained(t, func(nc *net.TCPConn, r *http1.Reader) {
+		for {
+			q, err := r.Head()
+			if err != nil || r.ReadBody(q) != nil {
+				return
+			}
+			fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n", q.Header.Get(keyID))
+			<-rest
+			io.WriteString(nc, "1\r\nb\r\n0\r\n\r\n")
+		}
+	})
+	nc, err := net.Dial("tcp4", front)
+	is.NoErr(err)
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(20 * time.Second))
+	ask := func(id string) {
+		fmt.Fprintf(nc, "POST /a/b/x HTTP/1.1\r\nHost: one.example\r\nAuthorization: Token k3\r\nX-Attempt-Id: %s\r\nX-Time-Left-Ms: 9000\r\nContent-Length: 2\r\n\r\nhi", id)
+	}
+	r := bufio.NewReader(nc)
+	ask("i1")
+	a, err := http.ReadResponse(r, nil)
+	is.NoErr(err)
+	is.True(!a.Close) // it is not told to go
+	ask("i2")
+	go server.Drain(time.Minute, 0)
+	is.Equal(exchange.Until(func() bool { return server.Phase() == passhub.Closing }), "")
+	close(rest)
+	b, err := io.ReadAll(a.Body)
+	is.NoErr(err)
+	is.Equal(string(b), "ab")
+	a, err = http.ReadResponse(r, nil)
+	is.NoErr(err) // it was dropped
+	b, err = io.ReadAll(a.Body)
+	is.NoErr(err)
+	is.Equal(string(b), "ab")
+	is.Equal(a.Header.Get("X-Attempt-Id"), "i2")
+	is.True(a.Close)
+	_, err = r.ReadByte()
+	is.Equal(err, io.EOF)
+}
--- a/internal/switchboard/speech.go
+++ b/internal/switchboard/speech.go
@@ -54,7 +54,7 @@
 		Parse: s.parse, Deciding: deciding, Reports: reports, Beyond: 429, PassFailures: true,
 		Times: func() *client.Times {
 			b := s.office.table.Load().Bounds()
-			t := &client.Times{Silent: 15, Idle: 15, Head: 3}
+			t := &client.Times{Silent: 15, Idle: 15, Head: 3, Hears: true}
 			if b.IdleTime > 0 {
 				t.Idle, t.Silent = b.IdleTime, b.IdleTime
 			}
