--- a/internal/tandem/doors_test.go
+++ b/internal/tandem/doors_test.go
@@ -147,6 +147,7 @@
 		c.True(time.Since(began) < time.Second)
 		pass(beatWithin)
 		c.Equal(c.nodes[at].doors.inHand, 0)
+		c.True(!late.up())
 		c.end()
 	})
 }
