Try a source at once when there is word that it is back

Now a control node tries a peer as soon as that one says hello, and an agent its other sources as soon as one answers (feed.Client.Wake).

--- a/internal/linefinder/finder.go
+++ b/internal/linefinder/finder.go
@@ -184,6 +184,7 @@
 		OnLink: func(up bool, err error) {
 			if up {
 				logger.Log("msg", "source answers")
+				f.wake(s)
 			} else {
 				logger.Log("msg", "source lost", "err", err)
 			}
@@ -356,3 +357,12 @@
 	}
 	return &trunk.Total{}
 }
+
+// wake has the other sources tried at once where one has just come: after a loss of power they come back together.
+func (f *Finder) wake(but *seed) {
+	for _, s := range *f.seeds.Load() {
+		if s != but {
+			s.client.Wake()
+		}
+	}
+}
--- a/internal/office/feed/client.go
+++ b/internal/office/feed/client.go
@@ -60,6 +60,7 @@
 	mu    sync.Mutex
 	conn  *trunk.Conn
 	state State
+	hurry context.CancelFunc // of the dial or the pause that is under way
 }
 
 // State is what is known of a source.
@@ -114,24 +115,40 @@
 		first = nearPause
 	}
 	for pause := first; ctx.Err() == nil; {
-		if c.once(ctx, min(max(2*pause, firstDial), dialIn)) {
+		unhurried, hurry := context.WithCancel(ctx)
+		c.mu.Lock()
+		c.hurry = hurry
+		c.mu.Unlock()
+		if c.once(ctx, unhurried, min(max(2*pause, firstDial), dialIn)) {
 			pause = first
 		}
 		t := time.NewTimer(pause/2 + time.Duration(odds.Int64N(int64(pause/2))))
 		select {
-		case <-ctx.Done():
+		case <-unhurried.Done():
+			pause = first
 		case <-t.C:
+			pause = min(2*pause, lastPause)
 		}
 		t.Stop()
-		pause = min(2*pause, lastPause)
+		hurry()
+	}
+}
+
+// Wake has a source that is not connected tried anew at once, for there is word that it may be back: a dial that began while it was without
+// power would only run out.
+func (c *Client) Wake() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == nil && c.hurry != nil {
+		c.hurry()
 	}
 }
 
-// once connects within a time, and subscribes until the connection ends. It tells whether the source answered.
-func (c *Client) once(ctx context.Context, within time.Duration) (answered bool) {
+// once connects within a time and while nobody has hurry, and subscribes until the connection ends. It tells whether the source answered.
+func (c *Client) once(ctx, unhurried context.Context, within time.Duration) (answered bool) {
 	var nc net.Conn
 	var err error
-	dialing, done := context.WithTimeout(ctx, within)
+	dialing, done := context.WithTimeout(unhurried, within)
 	if c.Dial != nil {
 		nc, err = c.Dial(dialing)
 	} else {
--- a/internal/tandem/node.go
+++ b/internal/tandem/node.go
@@ -620,6 +620,9 @@
 	case feed.Control:
 		conn.Bound(trunk.MaxWhole)
 		n.meet(ctx, all, []string{h.At}) // one that is no voter takes calls of servers too: what it hears must come here
+		if x := n.peer(h.At); x != nil {
+			x.client.Wake() // it runs again, and what is dialled meanwhile may run out
+		}
 		n.source.Serve(conn, h, func(f *trunk.Frame) *trunk.Frame { return n.talk(f, h.At) })
 	case feed.Agent, feed.Proxy:
 		n.source.Serve(conn, h, n.count)
