--- a/internal/office/directory/book.go
+++ b/internal/office/directory/book.go
@@ -220,7 +220,7 @@
 	}
 	next, changed = b.merge(items, read)
 	for _, i := range items {
-		if i.contradicts(next.entry(i.Key).Item) {
+		if i.contradicts(next.entry(i.Key).Item) && !mutated("takes-contradiction") {
 			return nil, nil, &Refusal{Status: 409, Text: i.Key.String() + ": this version says something else already"}
 		}
 	}
@@ -229,7 +229,7 @@
 		if old == nil || i.Version >= old.Version || read[n].route == nil {
 			continue
 		}
-		if _, _, isNew := old.known(i.Version); isNew {
+		if _, _, isNew := old.known(i.Version); isNew || mutated("judges-overtaken") {
 			if err := next.fits(read[n].route); err != nil {
 				return nil, nil, err
 			}
--- a/internal/office/directory/item.go
+++ b/internal/office/directory/item.go
@@ -94,7 +94,9 @@
 }
 
 // Newer tells whether an item takes the place of another of its name: only a higher version does.
-func (i Item) Newer(old Item) bool { return i.Version > old.Version }
+func (i Item) Newer(old Item) bool {
+	return i.Version > old.Version || i.Version == old.Version && mutated("equal-wins")
+}
 
 // Same tells whether two items of one version say the same, however they spell it.
 func (i Item) Same(o Item) bool {
--- a/internal/tandem/ballot/compose.go
+++ b/internal/tandem/ballot/compose.go
@@ -18,6 +18,9 @@
 	next, size := whole, 0
 	for n, call := range calls {
 		changed, alone, err := check(whole, call)
+		if mutated("composes-together") {
+			changed, alone, err = check(next, call)
+		}
 		switch {
 		case err != nil:
 			verdicts[n].Err = err
@@ -30,7 +33,7 @@
 		for _, i := range changed {
 			bytes += 64 + len(i.Key.Name) + len(i.Body)
 		}
-		if size > 0 {
+		if size > 0 && !mutated("composes-blind") {
 			if size+bytes > most {
 				continue
 			}
--- a/internal/tandem/orders_test.go
+++ b/internal/tandem/orders_test.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/pebble/v2/vfs"
 
 	"mulleinrouter/internal/office/directory"
+	"mulleinrouter/internal/tandem/ballot"
 )
 
 // The orders: up to eight operators at once send to three real nodes in fake time, lose answers, send again at once, late, elsewhere and in
@@ -50,6 +51,11 @@
 // forgotten tells whether so many higher versions were taken that nothing is known of one any more.
 func (r *register) forgotten(s said) bool {
 	higher := map[int]bool{}
+	for v := range r.past {
+		if v.key == s.key && v.version > s.version {
+			higher[v.version] = true
+		}
+	}
 	for v := range r.held {
 		if v.key == s.key && v.version > s.version {
 			higher[v.version] = true
@@ -69,6 +75,7 @@
 	orders    []*order
 	confirmed map[version]string
 	held      map[version]string // by any copy, at any time
+	past      map[version]bool   // that any copy knew to be overtaken
 	dead      map[*machine]bool
 	calm      time.Time // since when all is well; zero: it is not
 	wrong     string
@@ -91,6 +98,11 @@
 			r.fail("%v is held as %q and as %q", s.of(), old, s.what)
 		}
 		r.held[s.of()] = s.what
+		if i.Past != nil {
+			for _, p := range *i.Past {
+				r.past[version{i.Key, int(p.Version)}] = true
+			}
+		}
 	}
 }
 
@@ -454,13 +466,8 @@
 // last reads back, and sends again.
 func (w *world) last() {
 	w.look()
-	text := ""
-	for _, a := range w.seeds {
-		status, read := w.ask(a, "GET", "/config", "")
-		if status != 200 || text != "" && read != text {
-			w.fail("node %s gives back %d\n%s\nand another\n%s", a, status, read, text)
-		}
-		text = read
+	if wrong := w.differ(); wrong != "" {
+		w.fail("%s", wrong)
 	}
 	_, book := w.nodes[w.seeds[0]].voter.whole()
 	for v, what := range w.confirmed {
@@ -499,7 +506,7 @@
 // orders plays a seed.
 func orders(t *testing.T, seed uint64) *register {
 	w := &world{seed: seed, rnd: rand.New(rand.NewPCG(seed, 1))}
-	w.confirmed, w.held, w.dead, w.counts = map[version]string{}, map[version]string{}, map[*machine]bool{}, map[string]int{}
+	w.confirmed, w.held, w.past, w.dead, w.counts = map[version]string{}, map[version]string{}, map[version]bool{}, map[*machine]bool{}, map[string]int{}
 	synctest.Test(t, func(t *testing.T) {
 		w.core = newCore(t, 3)
 		pass(2 * time.Second)
@@ -558,3 +565,184 @@
 	all.Wait()
 	t.Logf("%d seeds: %v; slowest %v, in calm times %v", orderSeeds, sum.counts, sum.slowest, sum.slowCalm)
 }
+
+// Each of these plays one thing that the seeds meet seldom, and tells what went wrong.
+var scenes = map[string]func(*core) string{
+	// The answer that makes a majority, that of the node's own disk, comes when nobody waits any more; then another order comes to the node.
+	"late majority": func(c *core) string {
+		if status := c.patch(c.seeds[0], upsert([]string{service("s", 1)}, nil)); status != 200 {
+			return fmt.Sprint("first: ", status)
+		}
+		pass(100 * time.Millisecond) // so that the tick that looks for what is unfinished comes last
+		c.nodes[c.seeds[0]].hang.set(true)
+		c.nodes[c.seeds[2]].hang.set(true)
+		late, err := directory.ReadPatch([]byte(upsert([]string{service("t", 2)}, nil)))
+		c.NoErr(err)
+		if err := c.nodes[c.seeds[0]].desk.change(context.Background(), late, 50*time.Millisecond); err == nil {
+			return "taken without a majority"
+		}
+		pass(270 * time.Millisecond)
+		c.nodes[c.seeds[0]].hang.set(false)
+		c.nodes[c.seeds[2]].hang.set(false)
+		pass(10 * time.Millisecond)
+		if status := c.patch(c.seeds[0], upsert([]string{service("u", 3)}, nil)); status != 200 {
+			return fmt.Sprint("another: ", status)
+		}
+		pass(2 * time.Second)
+		return c.differ()
+	},
+	// A node that was the last to have a change chosen is cut off, and asked about what came since.
+	"cut off": func(c *core) string {
+		if status := c.patch(c.seeds[0], upsert([]string{service("s", 1)}, nil)); status != 200 {
+			return fmt.Sprint("first: ", status)
+		}
+		c.cut(c.seeds[0], true)
+		taken := upsert(nil, []string{route("r", "h", "t", 3)})
+		for _, o := range []string{upsert([]string{service("t", 2)}, nil), taken} {
+			if status := c.patch(c.seeds[1], o); status != 200 {
+				return fmt.Sprint("at the others: ", status)
+			}
+		}
+		if status := c.patch(c.seeds[0], taken); status != 503 {
+			return fmt.Sprint("an order that is taken, at the one that is cut off: ", status)
+		}
+		c.cut(c.seeds[0], false)
+		pass(3 * time.Second)
+		if status := c.patch(c.seeds[0], taken); status != 200 {
+			return fmt.Sprint("afterwards: ", status)
+		}
+		return c.differ()
+	},
+	// Two contents under one number at all nodes at once, again and again: one of them is confirmed, and it is in force.
+	"race": func(c *core) string {
+		for round := range 150 {
+			var mu sync.Mutex
+			var all sync.WaitGroup
+			taken := 0
+			for n := range 3 {
+				all.Go(func() {
+					status := c.patch(c.seeds[n], upsert([]string{service(fmt.Sprint("x", n), round+1)}, []string{route("r", fmt.Sprint("h", n), "s", round+1)}))
+					if round == 0 {
+						status = c.patch(c.seeds[n], upsert([]string{service("s", 1)}, nil))
+					}
+					mu.Lock()
+					defer mu.Unlock()
+					if status == 200 {
+						taken = n + 1
+					} else if status != 409 {
+						taken = -100
+					}
+				})
+			}
+			all.Wait()
+			_, book := c.nodes[c.seeds[round%3]].voter.whole()
+			if i, _ := book.Get(directory.Key{Kind: directory.Routes, Name: "r"}); round > 0 && whatSays(i) != fmt.Sprintf("h%d s", taken-1) {
+				return fmt.Sprintf("round %d: confirmed to %d, and there is %v", round, taken-1, i)
+			}
+		}
+		return c.differ()
+	},
+	// A node finds that another's order was taken while its own one under the same number was on its way.
+	"other found": func(c *core) string {
+		if status := c.patch(c.seeds[0], upsert([]string{service("s", 1)}, nil)); status != 200 {
+			return fmt.Sprint("first: ", status)
+		}
+		pass(10 * time.Millisecond) // behind a tick
+		c.cut(c.seeds[0], true)
+		var got sync.WaitGroup
+		status := 0
+		got.Go(func() { status = c.patch(c.seeds[0], upsert([]string{service("t", 2)}, nil)) })
+		pass(5 * time.Millisecond)
+		items, err := directory.ReadPatch([]byte(strings.Replace(upsert([]string{service("t", 2)}, nil), "130", "131", 1)))
+		c.NoErr(err)
+		for _, a := range c.seeds[1:] {
+			epoch, _ := c.nodes[a].voter.whole()
+			if a := c.nodes[a].voter.accept(ballot.Proposal{Ballot: ballot.Ballot{Round: 50, Node: "a"}, Epoch: epoch + 1, Items: items}, nil); a == nil || !a.OK {
+				return "the other's is not accepted"
+			}
+		}
+		c.cut(c.seeds[0], false)
+		got.Wait()
+		if status != 409 {
+			return fmt.Sprint("under a number that is taken: ", status)
+		}
+		return c.differ()
+	},
+	// Word comes that a change is chosen, to one that holds another for the same place.
+	"word of another": func(c *core) string {
+		if status := c.patch(c.seeds[0], upsert([]string{service("s", 1)}, nil)); status != 200 {
+			return fmt.Sprint("first: ", status)
+		}
+		v := c.nodes[c.seeds[2]].voter
+		epoch, _ := v.whole()
+		items, err := directory.ReadPatch([]byte(upsert([]string{service("t", 2)}, nil)))
+		c.NoErr(err)
+		held := ballot.Proposal{Ballot: ballot.Ballot{Round: 50, Node: "a"}, Epoch: epoch + 1, Items: items}
+		if a := v.accept(held, nil); a == nil || !a.OK || v.learn(held.Ballot.Above("b"), held.Epoch) {
+			return "it took its own for the other"
+		}
+		if status := c.patch(c.seeds[0], upsert([]string{service("u", 3)}, nil)); status != 200 {
+			return fmt.Sprint("another: ", status)
+		}
+		pass(2 * time.Second)
+		return c.differ()
+	},
+	// An operator's connection breaks, it is refused elsewhere, and what its order lacked comes while the first node still has that.
+	"gone": func(c *core) string {
+		if status := c.patch(c.seeds[1], upsert([]string{service("s", 1)}, nil)); status != 200 {
+			return fmt.Sprint("first: ", status)
+		}
+		c.cut(c.seeds[0], true)
+		order := upsert(nil, []string{route("r", "h", "t", 3)})
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		defer cancel()
+		c.nodes[c.seeds[0]].server().Handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequestWithContext(ctx, "PATCH", "/config", strings.NewReader(order)))
+		pass(5 * time.Millisecond)
+		if status := c.patch(c.seeds[1], order); status != 400 {
+			return fmt.Sprint("elsewhere: ", status)
+		}
+		if status := c.patch(c.seeds[1], upsert([]string{service("t", 2)}, nil)); status != 200 {
+			return fmt.Sprint("the service: ", status)
+		}
+		c.cut(c.seeds[0], false)
+		pass(3 * time.Second)
+		if _, book := c.nodes[c.seeds[1]].voter.whole(); strings.Contains(string(book.Render()), "authority") {
+			return "refused, and in force"
+		}
+		return c.differ()
+	},
+}
+
+// differ tells how what the nodes give back differs.
+func (c *core) differ() string {
+	text := ""
+	for _, a := range c.seeds {
+		status, read := c.ask(a, "GET", "/config", "")
+		if status != 200 || text != "" && read != text {
+			return fmt.Sprintf("node %s gives back %d\n%s\nand another\n%s", a, status, read, text)
+		}
+		text = read
+	}
+	return ""
+}
+
+func play(t *testing.T, scene func(*core) string) (wrong string) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCore(t, 3)
+		pass(2 * time.Second)
+		wrong = scene(c)
+		for _, a := range c.seeds {
+			c.cut(a, false)
+		}
+		c.end()
+	})
+	return wrong
+}
+
+func TestOrdersSeldom(t *testing.T) {
+	for name, scene := range scenes {
+		if wrong := play(t, scene); wrong != "" {
+			t.Errorf("%s: %s", name, wrong)
+		}
+	}
+}
--- a/internal/tandem/propose.go
+++ b/internal/tandem/propose.go
@@ -44,6 +44,9 @@
 	}
 }
 
+// left tells whether nobody waits for the answer any more.
+func (c *change) left() bool { return c.gone.Load() && !mutated("proposes-gone") }
+
 // desk has the changes and the readings of this node led to their end, one run after the other, by one goroutine. Calls that wait
 // together are chosen together.
 type desk struct {
@@ -118,7 +121,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for len(d.changes) > 0 && len(calls) < most {
-		if c := d.changes[0]; !c.gone.Load() {
+		if c := d.changes[0]; !c.left() {
 			calls = append(calls, c)
 		}
 		d.changes[0] = nil
@@ -243,7 +246,7 @@
 			if !reading {
 				// A new round begins, so whatever came meanwhile is judged upon a whole that is newer than it.
 				calls = append(calls, d.take(mostBatch-len(calls))...)
-				if calls = slices.DeleteFunc(calls, func(c *change) bool { return c.gone.Load() }); len(calls) > 0 {
+				if calls = slices.DeleteFunc(calls, (*change).left); len(calls) > 0 {
 					until = latest(calls)
 				}
 			}
@@ -282,7 +285,7 @@
 // form says what to propose, and answers the calls about which all is said. It returns those that are left.
 func (d *desk) form(a ballot.Action, calls []*change) (ballot.Action, []*change) {
 	epoch, book := d.n.voter.whole()
-	calls = slices.DeleteFunc(calls, func(c *change) bool { return c.gone.Load() })
+	calls = slices.DeleteFunc(calls, (*change).left)
 	all := make([][]directory.Item, len(calls))
 	for n, c := range calls {
 		all[n] = slices.Clone(c.items)
@@ -294,7 +297,7 @@
 		return b.Check(items)
 	}
 	items, verdicts := ballot.Compose(book, all, batchBytes, check)
-	if !a.Sure && slices.ContainsFunc(verdicts, func(v ballot.Verdict) bool { return v.Err != nil }) {
+	if !a.Sure && !mutated("refuses-unsure") && slices.ContainsFunc(verdicts, func(v ballot.Verdict) bool { return v.Err != nil }) {
 		return d.proposer.Unsure(a.Try), calls
 	}
 	var left []*change
@@ -306,7 +309,9 @@
 		case v.Void:
 			c.answer(nil)
 		default:
-			left = append(left, c)
+			if left = append(left, c); mutated("answers-before") || mutated("answers-left") && !v.Within {
+				c.answer(nil)
+			}
 			if v.Within {
 				d.within = append(d.within, c)
 			}
@@ -324,7 +329,7 @@
 	d.n.each(func(x *peer) {
 		go x.client.Call(roundMost, &trunk.Frame{Chosen: &trunk.Chosen{Proposal: ballot.Proposal{Ballot: p.Ballot, Epoch: p.Epoch}}})
 	})
-	if p.Ballot == d.proposed && p.Epoch == d.upon+1 {
+	if p.Ballot == d.proposed && p.Epoch == d.upon+1 || mutated("answers-others") {
 		for _, c := range d.within {
 			c.answer(nil)
 			c.gone.Store(true)
--- a/internal/tandem/voter.go
+++ b/internal/tandem/voter.go
@@ -177,7 +177,7 @@
 func (v *voter) learn(b ballot.Ballot, epoch uint64) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if f := v.a.Pending; f != nil && f.Ballot == b && f.Epoch == epoch {
+	if f := v.a.Pending; f != nil && (f.Ballot == b || mutated("learns-any")) && f.Epoch == epoch {
 		v.apply(epoch, f.Items)
 	}
 	return v.a.Epoch >= epoch
