--- a/internal/switchboard/planned_test.go
+++ b/internal/switchboard/planned_test.go
@@ -103,3 +103,15 @@
 	}
 	b.office.fed(&trunk.Feed{Items: items})
 }
+
+// What is given up on a leaving machine is given up in the second half of the grace, and answered before its end.
+func TestParting(t *testing.T) {
+	is := is.New(t)
+	for grace := 2 * time.Second; grace <= 30*time.Second; grace += 100 * time.Millisecond {
+		serve, finish := parting(grace)
+		is.True(serve+finish >= grace/2)   // LOST counts what is given up before
+		is.True(serve+finish+rest < grace) // time for the last answers
+		is.True(serve <= handOver)         // longer than the platform needs to hear
+		is.True(grace < 6*time.Second || serve == handOver)
+	}
+}
--- a/internal/switchboard/switchboard.go
+++ b/internal/switchboard/switchboard.go
@@ -137,14 +137,21 @@
 	}
 	b.log.Log("msg", "leaving")
 	b.leave()
-	time.Sleep(handOver)
+	serve, finish := parting(time.Duration(b.watch.Current().Bounds.Grace * float64(time.Second)))
+	time.Sleep(serve)
 	b.front.Close()
-	grace := time.Duration(b.watch.Current().Bounds.Grace * float64(time.Second))
-	b.server.Drain(max(0, grace-handOver-2*rest-200*time.Millisecond), rest)
+	b.server.Drain(finish, rest)
 	b.log.Log("msg", "left")
 	return nil
 }
 
+// parting is for how long a machine that leaves serves on as before, and then finishes what it has, before what is left is given up: all of it
+// within the grace, with a rest for the last answers, and nothing given up in its first half.
+func parting(grace time.Duration) (serve, finish time.Duration) {
+	serve = min(handOver, grace*2/5)
+	return serve, max(0, grace-serve-2*rest-200*time.Millisecond)
+}
+
 // leave has the clients sent elsewhere. A server's silence ends nothing from now on.
 func (b *Board) leave() {
 	b.office.engine.Planned(math.Inf(1))
