Log a connection's end after another's answer under codes that the on-call page has

cmd/mulleinrouter TestOnCallPage failed: two codes of the last commits stood on no page. What they tell is what upstream-bad-answer and upstream-not-needed say already.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -184,7 +184,7 @@
 	case a.More && !mutated("more-kept"):
 		v.Code = "upstream-bad-answer"
 	case l.others > 0 && !mutated("other-kept"):
-		v.Code = "upstream-other-answer" // nobody asked for it here, and more may come
+		v.Code = "upstream-bad-answer" // nobody asked for it here, and more may come
 	case a.Close && !mutated("close-kept"):
 		v.Code = "upstream-close"
 	case cancelled && !mutated("cancelled-kept"):
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -386,7 +386,7 @@
 			continue
 		}
 		if fit.Unnamed = kept.Conn.unnamed; !link.Fits(fit) {
-			p.close(kept.Conn, "upstream-doubtful", nil)
+			p.close(kept.Conn, "upstream-not-needed", nil)
 			continue
 		}
 		return kept.Conn, nil
