Catch up in bounded pieces that any node may send, gone on with after cuts and restarts

Cause seen: Since was answered by one frame with all that lay behind an epoch, within 5 s. On a link of 2 Mbit/s a large whole never came, and each try began anew (voter.go since, node.go fetchFrom, fetchMost). Beside it each node fed its whole configuration to each other one's subscription, who passes it over (feed/source.go send).

Now a question names the epoch held and a position in an order of keys that is the same in every book (directory.Key.Position); an answer holds 64 to 256 KiB, or one item. Pieces are staged, in memory and on disk, unseen by voter, store and feed, until a pass all of whose pieces came from one epoch; what changed meanwhile is asked for in the next pass (internal/tandem/catchup.go says why that is a whole). Sources keep nothing. Lines for a lost disk come in pages too. A node that another's newer whole has not reached for a second tells nobody that it is ready.

--- a/internal/office/feed/source.go
+++ b/internal/office/feed/source.go
@@ -98,6 +98,9 @@
 		}
 		f.Items, f.Lines, seq, f.Whole = s.Store.Since(seq, pieceOf)
 		f.Seq = seq
+		if hello.Class == Control {
+			f.Items = nil // they take none but from what was chosen (trunk.Since)
+		}
 		at := time.Now()
 		more := !f.Whole
 		if tellsBeats && at.Sub(lastBeats) >= beatsEach {
--- a/internal/office/trunk/frame.go
+++ b/internal/office/trunk/frame.go
@@ -113,14 +113,21 @@
 // Chosen tells that a change has been chosen.
 type Chosen struct{ ballot.Proposal }
 
-// Since asks for the chosen items that are newer than an epoch; with Blank, by a node whose disk is empty.
+// Since asks for the chosen items that are newer than an epoch, a piece at a time, in the order of directory.Key.Position; with Blank,
+// by a node whose disk is empty, for the lines kept on disk too.
 type Since struct {
 	Epoch uint64 `cbor:"1,keyasint"`
 	Blank bool   `cbor:"2,keyasint,omitempty"`
+	From  uint64 `cbor:"8,keyasint,omitempty"`  // the items at this position and behind it
+	Top   uint64 `cbor:"9,keyasint,omitempty"`  // of the newest epoch that a piece came from: an older whole is of no use
+	Most  int    `cbor:"10,keyasint,omitempty"` // bytes of the piece, about; 0: as the source likes
+	Lines string `cbor:"11,keyasint,omitempty"` // the lines whose ids are behind this one
 }
 
-// Items answers Since: all items chosen behind that epoch, up to and with Epoch.
+// Items answers Since: items chosen behind that epoch, as they stand in the whole of Epoch.
 type Items struct {
+	Next     uint64           `cbor:"8,keyasint,omitempty"` // the position to go on from; 0: nothing more is behind it
+	More     bool             `cbor:"9,keyasint,omitempty"` // lines are behind these
 	Epoch    uint64           `cbor:"1,keyasint"`
 	Items    []directory.Item `cbor:"2,keyasint,omitempty"`
 	Promised ballot.Ballot    `cbor:"3,keyasint,omitempty"`
--- /dev/null
+++ b/internal/tandem/catchup_test.go
@@ -0,0 +1,425 @@
+package tandem
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/go-kit/log"
+	"github.com/matryer/is"
+
+	"mulleinrouter/internal/office/directory"
+	"mulleinrouter/internal/office/feed"
+	"mulleinrouter/internal/office/lines"
+	"mulleinrouter/internal/office/trunk"
+	"mulleinrouter/internal/tandem/ballot"
+	"mulleinrouter/internal/tandem/vault"
+)
+
+const frameBound = pieceMost + 8<<10 // bytes: what a frame of a transfer holds at most, where no item is longer by itself
+
+// meter is what went over the links, and how fast they are.
+type meter struct {
+	rate float64 // bytes a second each way, of the bubble's time; 0: no bound
+
+	mu      sync.Mutex
+	bytes   int
+	longest int // frame
+}
+
+// metered is a connection whose bytes are counted, and pass no faster than the link.
+type metered struct {
+	net.Conn
+	m    *meter
+	head []byte // of a frame's length
+	left int    // of the frame
+}
+
+func (m *meter) wrap(nc net.Conn) net.Conn { return &metered{Conn: nc, m: m} }
+
+func (c *metered) Write(b []byte) (int, error) {
+	done := 0
+	for done < len(b) {
+		step := min(len(b)-done, 4<<10)
+		if c.m.rate > 0 {
+			time.Sleep(time.Duration(float64(step) / c.m.rate * float64(time.Second)))
+		}
+		n, err := c.Conn.Write(b[done : done+step])
+		c.count(b[done : done+n])
+		if done += n; err != nil {
+			return done, err
+		}
+	}
+	return done, nil
+}
+
+func (c *metered) count(b []byte) {
+	c.m.mu.Lock()
+	defer c.m.mu.Unlock()
+	c.m.bytes += len(b)
+	for len(b) > 0 {
+		if c.left == 0 {
+			c.head = append(c.head, b[0])
+			if b = b[1:]; len(c.head) == 4 {
+				c.left = int(binary.BigEndian.Uint32(c.head))
+				c.m.longest = max(c.m.longest, c.left)
+				c.head = c.head[:0]
+			}
+			continue
+		}
+		n := min(c.left, len(b))
+		c.left -= n
+		b = b[n:]
+	}
+}
+
+func (m *meter) reset() (bytes, longest int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	bytes, longest = m.bytes, m.longest
+	m.bytes, m.longest = 0, 0
+	return bytes, longest
+}
+
+// history makes changes, one epoch after the other, and knows each whole that they made: the plain model.
+type history struct {
+	rnd     *rand.Rand
+	names   int // of items
+	size    int // bytes of a body
+	each    int // items in a change, at most
+	changes []ballot.Proposal
+}
+
+func (h *history) grow(n int) {
+	for range n {
+		e := uint64(len(h.changes) + 1)
+		p := ballot.Proposal{Epoch: e}
+		for k := range h.rnd.IntN(h.each + 1) { // none, now and then
+			name := fmt.Sprint("t", h.rnd.IntN(h.names))
+			if slices.ContainsFunc(p.Items, func(i directory.Item) bool { return i.Key.Name == name }) {
+				continue
+			}
+			i := directory.Item{Key: directory.Key{Kind: directory.Tenants, Name: name}, Version: e, Epoch: e}
+			if i.Dropped = (int(e)+k)%7 == 0; !i.Dropped {
+				i.Body = fmt.Appendf(nil, `{"generation":"%08x","x":"%0*d"}`, e, h.size, e)
+			}
+			p.Items = append(p.Items, i)
+		}
+		h.changes = append(h.changes, p)
+	}
+}
+
+// whole is the items after an epoch.
+func (h *history) whole(epoch uint64) map[directory.Key]directory.Item {
+	all := map[directory.Key]directory.Item{}
+	for _, p := range h.changes[:epoch] {
+		for _, i := range p.Items {
+			all[i.Key] = i
+		}
+	}
+	return all
+}
+
+// wrong tells what a voter has that its epoch's whole has not, or lacks of it; empty: nothing.
+func (h *history) wrong(v *voter) string {
+	epoch, book := v.whole()
+	want := h.whole(epoch)
+	if book.Len() != len(want) {
+		return fmt.Sprintf("%d items at epoch %d, not %d", book.Len(), epoch, len(want))
+	}
+	for i := range book.All() {
+		if w := want[i.Key]; !w.Same(i) || w.Epoch != i.Epoch {
+			return fmt.Sprintf("at epoch %d: %v of epoch %d and version %d, not of %d and %d", epoch, i.Key, i.Epoch, i.Version, w.Epoch, w.Version)
+		}
+	}
+	return ""
+}
+
+// bring has a voter know all changes up to an epoch, one by one.
+func (h *history) bring(v *voter, epoch uint64) {
+	at, _ := v.whole()
+	for _, p := range h.changes[at:epoch] {
+		v.choose(p)
+	}
+}
+
+func newVoter(is *is.I, fs vfs.FS, life uint64) *voter {
+	is.Helper()
+	vt, s, err := vault.Open(fs, "d", log.NewNopLogger())
+	is.NoErr(err)
+	v := &voter{self: "x", log: log.NewNopLogger(), store: feed.NewStore(life)}
+	v.load(vt, s, []string{"x", "y", "z"})
+	return v
+}
+
+func none(string, int) ([]lines.Line, bool) { return nil, false }
+
+// One step of a walk in which a voter catches up: sources go on, answers are lost, come late or twice and from any of them, and the
+// voter loses power. Whatever whole it has is one that there was, and it gets to the newest.
+func catchUpWalk(seed uint64) (wrong string, pieces int) {
+	rnd := rand.New(rand.NewPCG(seed, 7))
+	is := is.New(failing{&wrong})
+	h := &history{rnd: rnd, names: 40, size: 1 + rnd.IntN(200), each: 1 + rnd.IntN(6)}
+	fs := vfs.NewCrashableMem()
+	life := uint64(1)
+	x := newVoter(is, fs, life)
+	sources := []*voter{}
+	for range 3 {
+		life++
+		sources = append(sources, newVoter(is, vfs.NewMem(), life))
+	}
+	defer func() {
+		for _, v := range append(sources, x) {
+			v.vault.Close()
+		}
+	}()
+	h.grow(1 + rnd.IntN(40))
+	type answer struct {
+		q trunk.Since
+		i trunk.Items
+	}
+	var late []answer
+	had, seen := uint64(0), new(directory.Book)
+	check := func() bool {
+		epoch, book := x.whole()
+		if wrong == "" && (book != seen || epoch != had) {
+			seen = book
+			wrong = h.wrong(x)
+		}
+		if wrong == "" && epoch < had {
+			wrong = fmt.Sprintf("epoch %d after %d", epoch, had)
+		}
+		had = epoch
+		return wrong == ""
+	}
+	for step := 0; ; step++ {
+		calm := step > 150
+		s := sources[rnd.IntN(3)]
+		switch k := rnd.IntN(12); {
+		case !calm && k == 0:
+			h.grow(1 + rnd.IntN(10))
+		case k == 1:
+			at, _ := s.whole()
+			h.bring(s, at+uint64(rnd.IntN(len(h.changes)-int(at)+1)))
+		case !calm && k == 2: // a change that comes as it is chosen
+			if at, _ := x.whole(); int(at) < len(h.changes) {
+				x.choose(h.changes[at])
+			}
+		case !calm && k == 3:
+			crash := fs.CrashClone(vfs.CrashCloneCfg{UnsyncedDataPercent: 50, RNG: rnd})
+			x.vault.Close()
+			fs = crash
+			life++
+			x = newVoter(is, fs, life)
+			had = 0
+			late = nil
+		case !calm && k == 4 && len(late) > 0:
+			a := late[rnd.IntN(len(late))]
+			x.take(&a.q, &a.i)
+		default:
+			q := x.lacking()
+			q.Most = 1 + rnd.IntN(1500)
+			i := s.since(q, none)
+			pieces++
+			size := 0
+			for _, it := range i.Items {
+				size += itemBytes + len(it.Key.Name) + len(it.Body)
+			}
+			if size > q.Most && len(i.Items) > 1 {
+				return fmt.Sprintf("a piece of %d bytes", size), pieces
+			}
+			if late = append(late, answer{*q, *i}); len(late) > 5 {
+				late = late[1:]
+			}
+			if calm || rnd.IntN(4) > 0 {
+				x.take(q, i)
+			}
+		}
+		if !check() {
+			return wrong, pieces
+		}
+		if calm {
+			for _, s := range sources {
+				h.bring(s, uint64(len(h.changes)))
+			}
+			if epoch, _ := x.whole(); int(epoch) == len(h.changes) {
+				return "", pieces
+			}
+			if step > 1000 {
+				return "it never gets there", pieces
+			}
+		}
+	}
+}
+
+// failing is a test that notes its first failure.
+type failing struct{ wrong *string }
+
+func (f failing) Fail()    { f.FailNow() }
+func (f failing) FailNow() { *f.wrong = "a step failed" }
+func (f failing) Log(args ...any) {
+	fmt.Fprintln(os.Stderr, args...)
+}
+
+func TestCatchUpWalks(t *testing.T) {
+	pieces := 0
+	for seed := range uint64(walks) {
+		wrong, n := catchUpWalk(seed)
+		if wrong != "" {
+			t.Fatalf("seed %d: %s", seed, wrong)
+		}
+		pieces += n
+	}
+	t.Logf("%d walks, %d pieces", walks, pieces)
+}
+
+const walks = 100
+
+// far cuts the third of three nodes off, and has so many changes chosen by the others meanwhile.
+func (c *core) far(h *history, n int) (behind *machine) {
+	c.Helper()
+	behind = c.nodes[c.seeds[2]]
+	c.cut(behind.addr, true)
+	h.grow(n)
+	for _, a := range c.seeds[:2] {
+		h.bring(c.nodes[a].voter, uint64(len(h.changes)))
+	}
+	return behind
+}
+
+// arrives waits until a node has the newest whole, and returns how long it took. All the while it has nothing in between, promises and accepts
+// nothing upon what it lacks, tells nobody that it is ready and answers no reading with what it has.
+func (c *core) arrives(h *history, addr string, most time.Duration) time.Duration {
+	c.Helper()
+	m, began := c.nodes[addr], time.Now()
+	old, book := m.voter.whole()
+	for {
+		epoch, now := m.voter.whole()
+		if epoch == uint64(len(h.changes)) {
+			c.Equal(h.wrong(m.voter), "")
+			return time.Since(began)
+		}
+		if time.Since(began) > most {
+			c.t.Fatalf("epoch %d of %d after %v", epoch, len(h.changes), time.Since(began))
+		}
+		if epoch == old {
+			c.True(now == book) // nothing of what has come is seen
+		} else {
+			old, book = epoch, now
+			c.Equal(h.wrong(m.voter), "")
+		}
+		p := ballot.Proposal{Ballot: ballot.Ballot{Round: 1, Node: "test"}, Epoch: uint64(len(h.changes)) + 1}
+		if promised, _ := m.voter.state(); promised.Round > 0 {
+			p.Ballot = promised
+		}
+		if r := m.voter.accept(p, nil); r != nil {
+			c.True(!r.OK)
+		}
+		if time.Since(began) > 3*time.Second {
+			c.True(!m.ready())
+		}
+		pass(20 * time.Millisecond)
+	}
+}
+
+// Behind by a change, by as many as are kept by name and one more or less, and by thousands; over links that are fast and in pieces.
+func TestBehindBy(t *testing.T) {
+	for _, n := range []int{1, 2, mostRecent / 2, mostRecent - 1, mostRecent, mostRecent + 1, 5000} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCore(t, 3)
+				pass(2 * time.Second)
+				h := &history{rnd: rand.New(rand.NewPCG(uint64(n), 1)), names: 300, size: 300, each: 4}
+				c.far(h, 20)
+				c.cut(c.seeds[2], false)
+				c.arrives(h, c.seeds[2], 5*time.Second)
+				for round := range 2 {
+					c.far(h, n)
+					c.cut(c.seeds[2], false)
+					c.arrives(h, c.seeds[2], 5*time.Second)
+					if round == 0 { // and by as many with a restart before
+						disk := c.kill(c.seeds[2])
+						c.start(c.seeds[2], disk, false)
+						pass(2 * time.Second)
+					}
+				}
+				c.Equal(c.patch(c.seeds[2], upsert([]string{service("s", 1)}, nil)), 200)
+				pass(time.Second)
+				c.Equal(c.nodes[c.seeds[0]].store.Epoch(), uint64(len(h.changes)+1))
+				c.end()
+			})
+		})
+	}
+}
+
+// Twenty megabytes over a link of 2 Mbit/s, while changes go on: in bounded pieces, gone on with after cuts, from another source, and
+// after a loss of power; each byte comes about once.
+func TestSlowLink(t *testing.T) {
+	const size = 20 << 20
+	synctest.Test(t, func(t *testing.T) {
+		c := newCore(t, 3)
+		c.links = &meter{}
+		for _, a := range c.seeds {
+			c.cut(a, true) // so that all connections are metered
+		}
+		for _, a := range c.seeds {
+			c.cut(a, false)
+		}
+		pass(3 * time.Second)
+		h := &history{rnd: rand.New(rand.NewPCG(9, 1)), names: size / 4096, size: 4096, each: 40}
+		c.far(h, 500)
+		total := 0
+		for _, i := range h.whole(uint64(len(h.changes))) {
+			total += len(i.Body)
+		}
+		c.links.reset()
+		c.links.rate = 2e6 / 8
+		c.cut(c.seeds[2], false)
+		began, cuts := time.Now(), 0
+		for m := c.nodes[c.seeds[2]]; ; {
+			from, _ := m.voter.whole()
+			pass(7 * time.Second)
+			if m.store.Epoch() > from {
+				break
+			}
+			h.grow(1) // meanwhile
+			for _, a := range c.seeds[:2] {
+				h.bring(c.nodes[a].voter, uint64(len(h.changes)))
+			}
+			switch cuts++; cuts {
+			case 2: // the line is lost
+				c.cut(c.seeds[2], true)
+				pass(3 * time.Second)
+				c.cut(c.seeds[2], false)
+			case 4: // so is a source
+				c.cut(c.seeds[0], true)
+			case 6:
+				c.cut(c.seeds[0], false)
+				c.cut(c.seeds[1], true)
+			case 7:
+				c.cut(c.seeds[1], false)
+			case 8:
+				disk := c.kill(c.seeds[2])
+				m = c.start(c.seeds[2], disk, false)
+			}
+			if time.Since(began) > 5*time.Minute {
+				t.Fatalf("not there after %v: %+v", time.Since(began), m.voter.staging.Stage)
+			}
+		}
+		took := time.Since(began)
+		c.arrives(h, c.seeds[2], 30*time.Second)
+		bytes, longest := c.links.reset()
+		t.Logf("%d bytes of bodies, %d over the links, longest frame %d, %v, %d cuts", total, bytes, longest, took, cuts)
+		c.True(longest <= frameBound)
+		c.end()
+		pass(time.Second) // what was on its way
+	})
+}
--- a/internal/tandem/node.go
+++ b/internal/tandem/node.go
@@ -32,9 +32,8 @@
 	countFrom  = 1500 * time.Millisecond // after the start: by then all who hold a lease have renewed it here
 	orphaned   = 200 * time.Millisecond  // after which an accepted change is finished by whoever has it
 	orphanStep = 75 * time.Millisecond   // more for each voter before this one, so that they do not all do it
-	fetchMost  = 5 * time.Second
-	askEach    = 200 * time.Millisecond // while a vote is being recovered
-	mostPeers  = 40                     // control nodes
+	askEach    = 200 * time.Millisecond  // while a vote is being recovered
+	mostPeers  = 40                      // control nodes
 	lameFor    = time.Second
 )
 
@@ -79,6 +78,8 @@
 		*tally.Keeper
 	}
 
+	behind    atomic.Bool // another node has had a newer whole for a while (see lags)
+	lagging   lag         // watch's
 	contact   *contact
 	confirmed atomic.Uint64 // the span of contact in which the whole here was found to be as new as that of more than half; 0: none
 	warm      atomic.Bool   // the servers are known: its disk had them, or another node that has all has told them
@@ -96,7 +97,7 @@
 type peer struct {
 	addr     string
 	client   *feed.Client
-	fetching sync.Mutex // one fetch at a time; one that is cut off holds up no fetch from another
+	fetching fetching
 }
 
 // New makes a node. It does nothing until Run.
@@ -267,7 +268,6 @@
 // inquire asks the other nodes who chooses, and takes what they know. Where all that this one was told of have empty disks too, it is
 // these.
 func (n *Node) inquire() (voters []string, known ballot.Ballot) {
-	epoch, _ := n.voter.whole()
 	var asking sync.WaitGroup
 	var mu sync.Mutex
 	var best uint64
@@ -275,23 +275,20 @@
 	n.each(func(x *peer) {
 		asked++
 		asking.Go(func() {
-			r := n.call(x.addr, fetchMost, &trunk.Frame{Since: &trunk.Since{Epoch: epoch, Blank: true}})
-			if r == nil || r.Items == nil {
+			r := n.inventory(x)
+			if r == nil {
 				return
 			}
 			mu.Lock()
 			defer mu.Unlock()
 			answered++
-			i := r.Items
+			i := r
 			if i.Promised.Compare(known) > 0 {
 				known = i.Promised
 			}
 			if !i.Blank && len(i.Voters) > 0 && len(i.Voters) <= mostPeers && (voters == nil || i.Epoch > best) {
 				voters, best = i.Voters, i.Epoch
 			}
-			n.roll.learn(i.Lines)
-			n.roll.keep(n.vault.Load(), ids(i.Lines)...)
-			n.voter.take(i)
 		})
 	})
 	asking.Wait()
@@ -361,7 +358,7 @@
 		if a == n.self || inner == "" || len(n.peers.all) >= mostPeers || slices.ContainsFunc(n.peers.all, func(x *peer) bool { return x.addr == a }) {
 			continue
 		}
-		x := &peer{addr: a, client: &feed.Client{Addr: inner, Node: n.settings.Node, Class: feed.Control, At: n.self, Life: n.life, Seed: n.life,
+		x := &peer{addr: a, fetching: fetching{room: make(chan struct{}, 1)}, client: &feed.Client{Addr: inner, Node: n.settings.Node, Class: feed.Control, At: n.self, Life: n.life, Seed: n.life,
 			Store: n.store, Clock: n.clock, Most: trunk.MaxWhole, Ready: n.ready}}
 		x.client.Take = func(f *trunk.Feed) {
 			n.roll.learn(f.Lines)
@@ -448,29 +445,6 @@
 	return int(n.members.Load())
 }
 
-// fetch gets what is chosen and not here from another control node, up to an epoch at least, and tells how far the whole here is then.
-func (n *Node) fetch(from string, want uint64) uint64 {
-	x := n.peer(from)
-	if x == nil {
-		epoch, _ := n.voter.whole()
-		return epoch
-	}
-	x.fetching.Lock()
-	defer x.fetching.Unlock()
-	return n.fetchFrom(x, want)
-}
-
-func (n *Node) fetchFrom(x *peer, want uint64) uint64 {
-	epoch, _ := n.voter.whole()
-	if epoch >= want {
-		return epoch
-	}
-	if r := n.call(x.addr, fetchMost, &trunk.Frame{Since: &trunk.Since{Epoch: epoch}}); r != nil && r.Items != nil {
-		return n.voter.take(r.Items)
-	}
-	return epoch
-}
-
 // watch does what time alone brings on.
 func (n *Node) watch(ctx context.Context) {
 	t := time.NewTicker(tick)
@@ -509,6 +483,7 @@
 			n.desk.settle()
 		}
 		n.sweep()
+		n.lags(now)
 		if round%4 == 0 {
 			n.roll.forget(n.vault.Load())
 			n.roll.flush(n.vault.Load())
@@ -562,28 +537,11 @@
 	return n.voter.unfinished(now) > orphaned+rank*orphanStep
 }
 
-// sweep fetches what another node was found to have.
-func (n *Node) sweep() {
-	epoch, _ := n.voter.whole()
-	started := false
-	n.each(func(x *peer) {
-		s := x.client.State()
-		if started || !x.client.Up() || s.Epoch <= epoch || !x.fetching.TryLock() {
-			return
-		}
-		started = true
-		go func() {
-			defer x.fetching.Unlock()
-			n.fetchFrom(x, s.Epoch)
-		}()
-	})
-}
-
 // ready tells whether a newcomer may serve with what it gets here: the configuration is as new as any that was acknowledged when this
 // span of contact began, and servers have had the time to call.
 func (n *Node) ready() bool {
 	term, ok := n.contact.holds()
-	return ok && n.confirmed.Load() == term && n.store.Epoch() > 0 && (n.warm.Load() || n.up() > 1.2*n.settings.Beat)
+	return ok && n.confirmed.Load() == term && !n.behind.Load() && n.store.Epoch() > 0 && (n.warm.Load() || n.up() > 1.2*n.settings.Beat)
 }
 
 // serveInner takes agents and control nodes.
--- a/internal/tandem/node_test.go
+++ b/internal/tandem/node_test.go
@@ -35,6 +35,8 @@
 
 	mu  sync.Mutex
 	off map[string]bool // cut off from all others
+
+	links *meter // nil: they are as fast as can be, and nobody counts
 }
 
 // machine is one of them with its disk.
@@ -156,6 +158,9 @@
 			continue
 		}
 		here, there := net.Pipe()
+		if c.links != nil {
+			here, there = c.links.wrap(here), c.links.wrap(there)
+		}
 		for _, x := range []*machine{m, c.nodes[from]} {
 			if x != nil {
 				x.inner.mu.Lock()
--- a/internal/tandem/roll.go
+++ b/internal/tandem/roll.go
@@ -1,6 +1,7 @@
 package tandem
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -151,17 +152,25 @@
 	}
 }
 
-// kept is the lines that are on disk, as they stand now.
-func (r *roll) kept() []lines.Line {
+// kept is the lines that are on disk, as they stand now, in order of their ids: those behind one id, and no more than so many bytes,
+// about. More: others are behind them.
+func (r *roll) kept(behind string, most int) (page []lines.Line, more bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	all := make([]lines.Line, 0, r.disk.Cardinality())
 	for id := range r.disk.Iter() {
-		if l, ok := r.known.Get(id); ok && l.Phase >= lines.Draining {
-			all = append(all, l)
+		if id > behind {
+			if l, ok := r.known.Get(id); ok && l.Phase >= lines.Draining {
+				page = append(page, l)
+			}
 		}
 	}
-	return all
+	slices.SortFunc(page, func(a, b lines.Line) int { return cmp.Compare(a.ID, b.ID) })
+	for n, l := range page {
+		if most -= lineBytes + len(l.ID) + len(l.Service) + len(l.Address) + len(l.Zone) + len(l.Generation); most < 0 && n > 0 {
+			return page[:n], true
+		}
+	}
+	return page, false
 }
 
 // recent is the beats taken here, for other control nodes.
--- a/internal/tandem/vault/vault.go
+++ b/internal/tandem/vault/vault.go
@@ -29,11 +29,13 @@
 	keyAcceptor = []byte("a")
 	keyPending  = []byte("p")
 	keyMembers  = []byte("n")
+	keyStage    = []byte("t")
 )
 
 const (
-	keyItem = 'i' // then the kind and the name
-	keyLine = 'l' // then the id
+	keyItem   = 'i' // then the kind and the name
+	keyLine   = 'l' // then the id
+	keyStaged = 's' // an item of a transfer that has not all come; then the kind and the name
 )
 
 // Sizes: small, because all that is kept is in memory too and is read at the start alone.
@@ -65,6 +67,16 @@
 	Items    []directory.Item // in order of their keys
 	Lines    []lines.Line
 	Members  int // ingresses, as last counted; 0: never
+	Stage    *Stage
+	Staged   []directory.Item
+}
+
+// Stage is how far a transfer of the whole has come whose items are staged: kept, and not yet part of what is here.
+type Stage struct {
+	Base  uint64 `cbor:"1,keyasint"` // all up to this epoch is here or staged
+	First uint64 `cbor:"2,keyasint"` // epoch of the first piece of this pass
+	Top   uint64 `cbor:"3,keyasint"` // and of the last
+	From  uint64 `cbor:"4,keyasint"` // position that the pass goes on from
 }
 
 // Batch is what is saved at once: whole or not at all. What is nil stays as it was.
@@ -76,6 +88,9 @@
 	Forget   []string // ids of lines
 	Members  int      // 0: as it was
 	Lazy     bool     // it may go without a sync: whatever is saved after it is never on disk without it
+	Stage    *Stage
+	Staged   []directory.Item // each in the place of another of its key that is staged
+	Unstage  bool             // the transfer is over: nothing is staged any more
 }
 
 // Vault is an open folder.
@@ -202,6 +217,13 @@
 			var i directory.Item
 			err = reading.Unmarshal(b, &i)
 			s.Items = append(s.Items, i)
+		case keyStage[0]:
+			s.Stage = new(Stage)
+			err = reading.Unmarshal(b, s.Stage)
+		case keyStaged:
+			var i directory.Item
+			err = reading.Unmarshal(b, &i)
+			s.Staged = append(s.Staged, i)
 		case keyLine:
 			var l lines.Line
 			err = reading.Unmarshal(b, &l)
@@ -315,7 +337,17 @@
 		v.pending = a.Pending
 	}
 	for _, i := range b.Items {
-		note(set(itemKey(i.Key), i))
+		note(set(itemKey(keyItem, i.Key), i))
+	}
+	if b.Unstage {
+		note(to.Delete(keyStage, nil))
+		note(to.DeleteRange([]byte{keyStaged}, []byte{keyStaged + 1}, nil))
+	}
+	if b.Stage != nil {
+		note(set(keyStage, b.Stage))
+	}
+	for _, i := range b.Staged {
+		note(set(itemKey(keyStaged, i.Key), i))
 	}
 	for _, l := range b.Lines {
 		note(set(lineKey(l.ID), l))
@@ -329,8 +361,8 @@
 	return errs
 }
 
-func itemKey(k directory.Key) []byte { return append([]byte{keyItem, byte(k.Kind)}, k.Name...) }
-func lineKey(id string) []byte       { return append([]byte{keyLine}, id...) }
+func itemKey(as byte, k directory.Key) []byte { return append([]byte{as, byte(k.Kind)}, k.Name...) }
+func lineKey(id string) []byte                { return append([]byte{keyLine}, id...) }
 
 // Close ends the vault, for which it waits two seconds at most. What was put before is written if the disk lets it be.
 func (v *Vault) Close() error {
--- a/internal/tandem/voter.go
+++ b/internal/tandem/voter.go
@@ -10,7 +10,6 @@
 
 	"mulleinrouter/internal/office/directory"
 	"mulleinrouter/internal/office/feed"
-	"mulleinrouter/internal/office/lines"
 	"mulleinrouter/internal/office/trunk"
 	"mulleinrouter/internal/tandem/ballot"
 	"mulleinrouter/internal/tandem/vault"
@@ -39,12 +38,7 @@
 	pendingAt time.Time     // since when a.Pending waits
 	guest     chan struct{} // closed once the change of another node that is under way here is chosen; nil: none is
 	recent    []chosen      // up to a.Epoch without a gap
-}
-
-// chosen is a change with the epoch it made.
-type chosen struct {
-	epoch uint64
-	items []directory.Item
+	staging   staging
 }
 
 // load takes what was on disk. Voters: those to start with, where nothing was and the whole system starts; nil: a lost disk, whose
@@ -53,6 +47,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.vault, v.a, v.voters = vt, s.Acceptor, s.Voters
+	v.staging.load(s)
 	v.store.MergeItems(s.Items)
 	v.store.SetEpoch(v.a.Epoch)
 	v.pendingAt = time.Now()
@@ -183,7 +178,7 @@
 	return v.a.Epoch >= epoch
 }
 
-// apply makes a change the newest of the whole.
+// apply makes a change, or several at once, the newest of the whole. What was staged has no use then: only what is behind it was.
 func (v *voter) apply(epoch uint64, items []directory.Item) {
 	if v.guest != nil {
 		close(v.guest)
@@ -193,56 +188,15 @@
 	changed := v.store.MergeItems(items)
 	v.a.Learn(epoch)
 	v.store.SetEpoch(epoch)
-	v.vault.Put(vault.Batch{Acceptor: &v.a, Items: changed, Lazy: true}) // the accepted proposal is on more than half of the disks
+	// The accepted proposal is on more than half of the disks.
+	v.vault.Put(vault.Batch{Acceptor: &v.a, Items: changed, Unstage: v.staging.over(epoch), Lazy: true})
 	if behind > 1 {
 		v.recent = nil
 	}
 	if len(v.recent) == mostRecent {
 		v.recent = slices.Clone(v.recent[mostRecent/2:]) // readers have the old one
 	}
-	v.recent = append(v.recent, chosen{epoch, changed})
-}
-
-// take takes the answer to Since; it tells how far the whole is then. The answer holds all that was chosen behind an epoch that was
-// this node's when it asked.
-func (v *voter) take(i *trunk.Items) uint64 {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if i.Epoch > v.a.Epoch && v.vault != nil && proper(i.Items) {
-		v.apply(i.Epoch, i.Items)
-	}
-	return v.a.Epoch
-}
-
-// since answers who lacks what was chosen behind an epoch; nil: nothing is known here yet. Lines are those kept on disk.
-func (v *voter) since(q *trunk.Since, kept func() []lines.Line) *trunk.Items {
-	v.mu.Lock()
-	if v.vault == nil {
-		v.mu.Unlock()
-		return nil
-	}
-	i := &trunk.Items{Epoch: v.a.Epoch, Promised: v.a.Promised, Blank: v.voters == nil, Voters: v.voters}
-	book, recent := v.store.Book(), v.recent
-	v.mu.Unlock()
-	if i.Epoch > q.Epoch {
-		if len(recent) > 0 && recent[0].epoch <= q.Epoch+1 {
-			for _, c := range recent {
-				if c.epoch > q.Epoch {
-					i.Items = append(i.Items, c.items...)
-				}
-			}
-		} else {
-			for it := range book.All() {
-				if it.Epoch > q.Epoch {
-					i.Items = append(i.Items, it)
-				}
-			}
-		}
-	}
-	if q.Blank {
-		i.Lines = kept()
-	}
-	return i
+	v.recent = append(v.recent, chosen{epoch, keysOf(changed)})
 }
 
 // proper tells whether items that another process told of can be such at all.
