--- a/internal/tandem/catchup_test.go
+++ b/internal/tandem/catchup_test.go
@@ -28,9 +28,8 @@
 
 // meter is what went over the links, and how fast they are.
 type meter struct {
-	rate float64 // bytes a second each way, of the bubble's time; 0: no bound
-
 	mu      sync.Mutex
+	rate    float64 // bytes a second each way, of the bubble's time; 0: no bound
 	bytes   int
 	longest int // frame
 }
@@ -48,10 +47,8 @@
 func (c *metered) Write(b []byte) (int, error) {
 	done := 0
 	for done < len(b) {
-		step := min(len(b)-done, 4<<10)
-		if c.m.rate > 0 {
-			time.Sleep(time.Duration(float64(step) / c.m.rate * float64(time.Second)))
-		}
+		step := min(len(b)-done, 16<<10)
+		time.Sleep(c.m.span(step))
 		n, err := c.Conn.Write(b[done : done+step])
 		c.count(b[done : done+n])
 		if done += n; err != nil {
@@ -61,6 +58,22 @@
 	return done, nil
 }
 
+// span is how long so many bytes take.
+func (m *meter) span(bytes int) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.rate == 0 {
+		return 0
+	}
+	return time.Duration(float64(bytes) / m.rate * float64(time.Second))
+}
+
+func (m *meter) set(rate float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.rate = rate
+}
+
 func (c *metered) count(b []byte) {
 	c.m.mu.Lock()
 	defer c.m.mu.Unlock()
@@ -381,7 +394,7 @@
 			total += len(i.Body)
 		}
 		c.links.reset()
-		c.links.rate = 2e6 / 8
+		c.links.set(2e6 / 8)
 		c.cut(c.seeds[2], false)
 		began, cuts := time.Now(), 0
 		for m := c.nodes[c.seeds[2]]; ; {
