--- a/internal/tandem/catchup.go
+++ b/internal/tandem/catchup.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"iter"
 	"slices"
 	"sync/atomic"
@@ -28,9 +29,10 @@
 	pieceSlow  = 400 * time.Millisecond
 	fetchMost  = 5 * time.Second // for one piece
 	stalled    = time.Second     // without a piece for so long, another source is tried beside
-	mostWait   = 4               // calls of one node that wait for a fetch from it
-	lagMost    = time.Second     // that a whole may be newer elsewhere before nobody is to start with the one here
-	itemBytes  = 64              // what an item counts beside its name and its body
+	fetchStep  = 50 * time.Millisecond
+	mostWait   = 4           // calls of one node that wait for a fetch from it
+	lagMost    = time.Second // that a whole may be newer elsewhere before nobody is to start with the one here
+	itemBytes  = 64          // what an item counts beside its name and its body
 	lineBytes  = 64
 )
 
@@ -95,7 +97,7 @@
 		return false
 	}
 	s.Base = s.First
-	return s.First == s.Top
+	return s.First == s.Top || mutated("mixes-epochs")
 }
 
 // lacking is the question for the next piece.
@@ -113,12 +115,12 @@
 	defer v.mu.Unlock()
 	s := &v.staging
 	s.Base = max(s.Base, v.a.Epoch)
-	if v.vault == nil || i.Epoch <= v.a.Epoch || i.Epoch < s.Top || q.From != s.From || q.Epoch > s.Base || i.Next != 0 && i.Next <= q.From || !proper(i.Items) {
+	if v.vault == nil || i.Epoch <= v.a.Epoch || i.Epoch < s.Top && !mutated("older-source") || q.From != s.From || q.Epoch > s.Base || i.Next != 0 && i.Next <= q.From || !proper(i.Items) {
 		return v.a.Epoch, false
 	}
 	s.moved = time.Now()
 	direct := s.Top == 0 && i.Next == 0
-	if whole := s.add(i); whole {
+	if whole := s.add(i); whole || mutated("epoch-before-items") {
 		items := make([]directory.Item, 0, len(s.items))
 		for _, it := range s.items {
 			items = append(items, it)
@@ -127,7 +129,11 @@
 	} else if !direct {
 		stage := s.Stage
 		s.saved = true
-		v.vault.Put(vault.Batch{Stage: &stage, Staged: i.Items, Lazy: true}) // what is lost of it comes again
+		b := vault.Batch{Stage: &stage, Staged: i.Items, Lazy: true} // what is lost of it comes again
+		if mutated("position-without-items") {
+			b.Staged = nil
+		}
+		v.vault.Put(b)
 	}
 	return v.a.Epoch, true
 }
@@ -159,7 +165,7 @@
 // newer is the items that were chosen behind an epoch, from a position on, in order of their positions. Recent spares it the way through
 // the whole book.
 func newer(book *directory.Book, recent []chosen, epoch, from uint64) iter.Seq2[uint64, directory.Item] {
-	if len(recent) == 0 || recent[0].epoch > epoch+1 {
+	if len(recent) == 0 || recent[0].epoch > epoch+1 && !(mutated("recent-off-by-one") && recent[0].epoch == epoch+2) {
 		return func(yield func(uint64, directory.Item) bool) {
 			for at, i := range book.From(from) {
 				if i.Epoch > epoch && !yield(at, i) {
@@ -217,7 +223,7 @@
 }
 
 // fetch gets what is chosen and not here from another control node, up to an epoch at least, and tells how far the whole here is then.
-// It gets a piece or two: a long way is gone by sweep.
+// It gets a piece or two: a long way is gone by sweep, and while that goes on, fetch waits for it and asks nobody for the same pieces.
 func (n *Node) fetch(from string, want uint64) uint64 {
 	epoch, _ := n.voter.whole()
 	x := n.peer(from)
@@ -229,6 +235,11 @@
 		return epoch
 	}
 	for moved, until := true, time.Now().Add(roundMost); moved && epoch < want && time.Now().Before(until); {
+		if n.sweeping() && n.voter.staged() {
+			pause(context.Background(), fetchStep)
+			epoch, _ = n.voter.whole()
+			continue
+		}
 		epoch, moved = n.fetchPiece(x, want)
 	}
 	return epoch
@@ -261,9 +272,7 @@
 // sweep fetches what another node was found to have, from one that goes on sending.
 func (n *Node) sweep() {
 	epoch, _ := n.voter.whole()
-	sweeping, moved := false, n.voter.moved()
-	n.each(func(x *peer) { sweeping = sweeping || x.fetching.sweeping.Load() })
-	if sweeping && time.Since(moved) < stalled {
+	if n.sweeping() && time.Since(n.voter.moved()) < stalled {
 		return
 	}
 	started := false
@@ -282,6 +291,19 @@
 	})
 }
 
+// sweeping tells whether a sweep is on its way.
+func (n *Node) sweeping() (on bool) {
+	n.each(func(x *peer) { on = on || x.fetching.sweeping.Load() })
+	return on
+}
+
+// staged tells whether a transfer has begun and is not through.
+func (v *voter) staged() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.staging.Top != 0
+}
+
 // moved is when the last piece came.
 func (v *voter) moved() time.Time {
 	v.mu.Lock()
--- /dev/null
+++ b/internal/tandem/catchup_mutants_test.go
@@ -0,0 +1,24 @@
+//go:build mutants
+
+package tandem
+
+import "testing"
+
+func TestCatchUpMutants(t *testing.T) {
+	defer func() { Mutant = "" }()
+	for _, Mutant = range []string{"mixes-epochs", "older-source", "epoch-before-items", "recent-off-by-one", "position-without-items", "accepts-behind"} {
+		seed, wrong := uint64(0), ""
+		for _, n := range boundaries {
+			if wrong == "" {
+				wrong = recentWrong(n)
+			}
+		}
+		for ; seed < 200 && wrong == ""; seed++ {
+			wrong, _ = catchUpWalk(seed)
+		}
+		if wrong == "" {
+			t.Errorf("%s: not found", Mutant)
+		}
+		t.Logf("%s: seed %d: %s", Mutant, seed-1, wrong)
+	}
+}
--- a/internal/tandem/catchup_test.go
+++ b/internal/tandem/catchup_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -211,6 +212,9 @@
 			wrong = fmt.Sprintf("epoch %d after %d", epoch, had)
 		}
 		had = epoch
+		if r := x.accept(ballot.Proposal{Ballot: ballot.Ballot{Round: 1, Node: "y"}, Epoch: epoch + 2 + uint64(rnd.IntN(3))}, nil); wrong == "" && r != nil && r.OK {
+			wrong = "it accepts upon a whole that it lacks"
+		}
 		return wrong == ""
 	}
 	for step := 0; ; step++ {
@@ -282,6 +286,53 @@
 	fmt.Fprintln(os.Stderr, args...)
 }
 
+// recentWrong asks a source, after so many changes, for what is behind each epoch, whole and from some positions on: against the plain list
+// of what is newer.
+func recentWrong(n int) string {
+	var wrong string
+	is := is.New(failing{&wrong})
+	rnd := rand.New(rand.NewPCG(uint64(n), 3))
+	h := &history{rnd: rnd, names: 5000, size: 1, each: 3}
+	v := newVoter(is, vfs.NewMem(), 1)
+	defer v.vault.Close()
+	h.grow(n)
+	h.bring(v, uint64(n))
+	_, book := v.whole()
+	whole := h.whole(uint64(n))
+	for e := range uint64(n) {
+		for _, from := range []uint64{0, rnd.Uint64()} {
+			got, want := map[directory.Key]uint64{}, map[directory.Key]uint64{}
+			last := from
+			for at, i := range newer(book, v.recent, e, from) {
+				if at < last {
+					return fmt.Sprintf("position %x after %x", at, last)
+				}
+				last = at
+				got[i.Key] = i.Epoch
+			}
+			for _, i := range whole {
+				if i.Epoch > e && i.Key.Position() >= from {
+					want[i.Key] = i.Epoch
+				}
+			}
+			if !maps.Equal(got, want) {
+				return fmt.Sprintf("%d changes, asked for what is behind %d: %d items, not %d", n, e, len(got), len(want))
+			}
+		}
+	}
+	return wrong
+}
+
+var boundaries = []int{1, 2, mostRecent/2 - 1, mostRecent / 2, mostRecent/2 + 1, mostRecent - 1, mostRecent, mostRecent + 1, mostRecent + 2, 3 * mostRecent / 2, 3*mostRecent/2 + 1, 600}
+
+func TestRecent(t *testing.T) {
+	for _, n := range boundaries {
+		if wrong := recentWrong(n); wrong != "" {
+			t.Error(wrong)
+		}
+	}
+}
+
 func TestCatchUpWalks(t *testing.T) {
 	pieces := 0
 	for seed := range uint64(walks) {
@@ -432,6 +483,7 @@
 		bytes, longest := c.links.reset()
 		t.Logf("%d bytes of bodies, %d over the links, longest frame %d, %v, %d cuts", total, bytes, longest, took, cuts)
 		c.True(longest <= frameBound)
+		c.True(bytes < total*5/4)
 		c.end()
 		pass(time.Second) // what was on its way
 	})
--- a/internal/tandem/voter.go
+++ b/internal/tandem/voter.go
@@ -141,6 +141,9 @@
 			v.apply(f.Epoch, f.Items)
 		}
 		r, changed := v.a.Accept(p)
+		if mutated("accepts-behind") && r.Behind {
+			r.OK = true
+		}
 		if changed {
 			v.keep()
 			v.visited(p.Ballot)
