Stage what was chosen later over what was chosen earlier

Joining two parts: an item of one version may grow in what it overtook (directory.Past), and a transfer's staging took a higher version alone, so a piece that came later could leave the older past. By the epoch it is right whatever an item holds. Lines: staging.add in internal/tandem/catchup.go.

--- a/internal/tandem/catchup.go
+++ b/internal/tandem/catchup.go
@@ -79,13 +79,13 @@
 	return saved
 }
 
-// add stages a piece, and tells whether the pass is through with a whole: that of Top. Newer ones take the place of older ones alone.
+// add stages a piece, and tells whether the pass is through with a whole: that of Top. What was chosen later takes the place of what was chosen earlier.
 func (s *staging) add(i *trunk.Items) (whole bool) {
 	if s.items == nil {
 		s.items = map[directory.Key]directory.Item{}
 	}
 	for _, it := range i.Items {
-		if old, ok := s.items[it.Key]; !ok || it.Newer(old) {
+		if old, ok := s.items[it.Key]; !ok || it.Epoch > old.Epoch { // an item of one version may have grown in what it overtook
 			s.items[it.Key] = it
 		}
 	}
