Nobody starves: up to nine operators without a pause at three nodes

TestNobodyStarves: syncs of 0, 4 and 20 ms, readers beside the operators.

Its first run hung (and cost ten minutes, for want of a time-out): each Chosen that found nothing to apply fetched, waiting for the fetch before it on a mutex, in one of the 32 places that a connection has for calls that may wait. With both nodes' places full of such waits, neither's Since was taken in; each holder gives up after 5 s, and the next in line begins another 5 s.

--- a/internal/tandem/orders_test.go
+++ b/internal/tandem/orders_test.go
@@ -746,3 +746,75 @@
 		}
 	}
 }
+
+// Three nodes outbid one another without a pause, on disks that take their time: everybody who asks, and who reads, is answered, and soon.
+func TestNobodyStarves(t *testing.T) {
+	for _, syncs := range []time.Duration{0, 4 * time.Millisecond, 20 * time.Millisecond} {
+		for _, each := range []int{1, 4} {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCore(t, 3)
+				pass(2 * time.Second)
+				c.Equal(c.patch(c.seeds[0], upsert([]string{service("s", 1)}, nil)), 200)
+				over := time.Now().Add(3 * time.Second)
+				if syncs == 0 {
+					over = time.Now().Add(400 * time.Millisecond) // as many orders as in all the other runs
+				}
+				var all sync.WaitGroup
+				for _, a := range c.seeds { // what is to be synced waits for the next of these moments
+					all.Go(func() {
+						for m := c.nodes[a]; syncs > 0 && time.Now().Before(over); {
+							m.hang.set(true)
+							time.Sleep(syncs)
+							m.hang.set(false)
+							time.Sleep(100 * time.Microsecond)
+						}
+					})
+				}
+				var mu sync.Mutex
+				worst, count, unclear := map[string]time.Duration{}, map[string]int{}, 0
+				note := func(what string, began time.Time, status int) {
+					mu.Lock()
+					defer mu.Unlock()
+					worst[what], count[what] = max(worst[what], time.Since(began)), count[what]+1
+					if status != 200 {
+						unclear++
+					}
+				}
+				for n, a := range c.seeds {
+					operators := each
+					if n == 2 {
+						operators = 1 // who is alone with his node among so many at the others
+					}
+					for k := range operators {
+						all.Go(func() {
+							for v := 1; time.Now().Before(over); v++ {
+								began := time.Now()
+								note(fmt.Sprint("orders at ", n), began, c.patch(a, upsert([]string{service(fmt.Sprintf("s%d-%d", n, k), v)}, nil)))
+								time.Sleep(time.Millisecond)
+							}
+						})
+					}
+					all.Go(func() {
+						for time.Now().Before(over) {
+							began := time.Now()
+							status, _ := c.ask(a, "GET", "/config", "")
+							note("readings", began, status)
+							time.Sleep(50 * time.Millisecond)
+						}
+					})
+				}
+				all.Wait()
+				t.Logf("syncs of %v, %d operators at each of two nodes, one at the third: %v, at the worst %v, unclear: %d", syncs, each, count, worst, unclear)
+				if unclear > 0 {
+					t.Errorf("%d without a clear answer", unclear)
+				}
+				for what, w := range worst {
+					if w > 750*time.Millisecond {
+						t.Errorf("%s: %v", what, w)
+					}
+				}
+				c.end()
+			})
+		}
+	}
+}
