--- a/internal/tandem/orders_test.go
+++ b/internal/tandem/orders_test.go
@@ -673,6 +673,7 @@
 		if status := c.patch(c.seeds[0], upsert([]string{service("s", 1)}, nil)); status != 200 {
 			return fmt.Sprint("first: ", status)
 		}
+		pass(10 * time.Millisecond) // until all know
 		v := c.nodes[c.seeds[2]].voter
 		epoch, _ := v.whole()
 		items, err := directory.ReadPatch([]byte(upsert([]string{service("t", 2)}, nil)))
