--- a/internal/tandem/catchup.go
+++ b/internal/tandem/catchup.go
@@ -32,7 +32,8 @@
 	fetchStep  = 50 * time.Millisecond
 	mostWait   = 4           // calls of one node that wait for a fetch from it
 	lagMost    = time.Second // that a whole may be newer elsewhere before nobody is to start with the one here
-	itemBytes  = 64          // what an item counts beside its name and its body
+	itemBytes  = 64          // what an item counts beside its name, its body and its past
+	pastBytes  = 20
 	lineBytes  = 64
 )
 
@@ -205,7 +206,7 @@
 func piece(all iter.Seq2[uint64, directory.Item], most int) (items []directory.Item, next uint64) {
 	var last uint64
 	for at, i := range all {
-		most -= itemBytes + len(i.Key.Name) + len(i.Body)
+		most -= weight(i)
 		if most < 0 && len(items) > 0 && at != last {
 			return items, last + 1
 		}
@@ -214,6 +215,15 @@
 	return items, 0
 }
 
+// weight is the bytes of an item in a frame, about: not less than they are.
+func weight(i directory.Item) int {
+	bytes := itemBytes + len(i.Key.Name) + len(i.Body)
+	if i.Past != nil {
+		bytes += pastBytes * len(*i.Past)
+	}
+	return bytes
+}
+
 // fetching is the fetch of pieces from one node.
 type fetching struct {
 	room     chan struct{} // for one piece at a time; a node that is cut off holds up no fetch from another
--- a/internal/tandem/catchup_test.go
+++ b/internal/tandem/catchup_test.go
@@ -146,6 +146,12 @@
 func (h *history) wrong(v *voter) string {
 	epoch, book := v.whole()
 	want := h.whole(epoch)
+	past := map[directory.Key][]uint64{} // versions of all changes, the newest first
+	for _, p := range slices.Backward(h.changes[:epoch]) {
+		for _, i := range p.Items {
+			past[i.Key] = append(past[i.Key], i.Version)
+		}
+	}
 	if book.Len() != len(want) {
 		return fmt.Sprintf("%d items at epoch %d, not %d", book.Len(), epoch, len(want))
 	}
@@ -153,6 +159,15 @@
 		if w := want[i.Key]; !w.Same(i) || w.Epoch != i.Epoch {
 			return fmt.Sprintf("at epoch %d: %v of epoch %d and version %d, not of %d and %d", epoch, i.Key, i.Epoch, i.Version, w.Epoch, w.Version)
 		}
+		var got []uint64
+		if i.Past != nil {
+			for _, p := range *i.Past {
+				got = append(got, p.Version)
+			}
+		}
+		if all := past[i.Key][1:]; !slices.Equal(got, all[:min(16, len(all))]) {
+			return fmt.Sprintf("at epoch %d: %v overtook %v, not %v", epoch, i.Key, got, all)
+		}
 	}
 	return ""
 }
@@ -248,7 +263,7 @@
 			pieces++
 			size := 0
 			for _, it := range i.Items {
-				size += itemBytes + len(it.Key.Name) + len(it.Body)
+				size += weight(it)
 			}
 			if size > q.Most && len(i.Items) > 1 {
 				return fmt.Sprintf("a piece of %d bytes", size), pieces
--- a/internal/tandem/vault/size_test.go
+++ b/internal/tandem/vault/size_test.go
@@ -101,6 +101,16 @@
 	all := len(b) + len(itemKey(keyItem, i.Key))
 	t.Logf("%d bytes on disk", all)
 	is.True(all <= 64)
+	var book *directory.Book // and with all that it overtook
+	for n := range 100 {
+		i.Version, i.Epoch = 1<<31+uint64(n), 1<<20+uint64(n)
+		book, _ = book.Merge([]directory.Item{i})
+	}
+	old, _ := book.Get(i.Key)
+	b, err = cbor.Marshal(old)
+	is.NoErr(err)
+	t.Logf("%d bytes on disk with the past that is kept", len(b)+len(itemKey(keyItem, i.Key)))
+	is.True(len(b) <= 400)
 
 	const many = 50_000
 	var before, after runtime.MemStats
