Have an agent take the whole from the nearest source, and from the others only what differs

A source now leaves out what a subscriber that does not know its life holds already: 256 buckets, the sum of the hashes of what is in each, kept with each change, told in Hello where there are 256 things or more. Of several sources of an empty store that which is connected first, the nearest, is asked first (feed.Turn); the others once it has given the whole, or was quiet for 250 ms, or after 1.5 s.

Seeded by hand: twelve faults, eleven found by TestSums or TestTurn; sums heeded by a source of the same life are no fault but in bytes.

--- a/internal/linefinder/finder.go
+++ b/internal/linefinder/finder.go
@@ -43,6 +43,7 @@
 	clock   *feed.Clock
 	source  *feed.Source
 	started time.Time
+	turn    feed.Turn
 
 	seeds  atomic.Pointer[[]*seed] // in force; swapped whole, under follow
 	follow struct {
@@ -173,7 +174,7 @@
 	s := &seed{addr: addr}
 	ctx, s.stop = context.WithCancel(ctx)
 	logger := log.With(f.log, "source", addr)
-	s.client = &feed.Client{Addr: addr, Node: node, Zone: zone, Class: feed.Agent, Life: f.life, Seed: f.life, Store: f.store, Clock: f.clock,
+	s.client = &feed.Client{Addr: addr, Node: node, Zone: zone, Class: feed.Agent, Life: f.life, Seed: f.life, Store: f.store, Clock: f.clock, Turn: &f.turn,
 		Ready: f.taking, Tell: true, Dial: func(ctx context.Context) (net.Conn, error) { return f.dial(ctx, addr) },
 		OnFeed: func(news *trunk.Feed) {
 			if news.Whole && news.Ready {
--- a/internal/office/feed/client.go
+++ b/internal/office/feed/client.go
@@ -54,6 +54,7 @@
 	Take   func(*trunk.Feed)                       // takes the place of merging a feed into the Store; nil: merge
 	OnFeed func(*trunk.Feed)                       // after each feed, in which then is only what was news here (unless Take took it); nil: nobody asks
 	OnLink func(up bool, err error)                // the source answered on a new connection, or a connection on which it had ended; nil: nobody asks
+	Turn   *Turn                                   // who of those that share the Store takes the whole first; nil: all do
 	Tell   bool                                    // tell a source that began a new life the lines that it then lacks
 	Dial   func(context.Context) (net.Conn, error) // nil: TCP to Addr
 
@@ -170,12 +171,19 @@
 		c.conn = nil
 		c.mu.Unlock()
 	}()
+	s := session{c: c, conn: conn}
+	if c.Turn != nil {
+		c.Turn.await(ctx, &s)
+		defer c.Turn.end(&s)
+	}
 	was := c.State()
 	hello := &trunk.Hello{Node: c.Node, Class: c.Class, Life: c.Life, Of: was.Life, Seq: was.Seq, Epoch: c.Store.Epoch(), Zone: c.Zone, At: c.At}
+	if c.Class == Agent {
+		hello.Sums = c.Store.Sums()
+	}
 	if conn.Send(&trunk.Frame{Hello: hello}) != nil {
 		return false
 	}
-	s := session{c: c, conn: conn}
 	if c.Tell && was.Life != 0 && time.Since(was.Heard) > tellAway {
 		s.lacks = map[string]struct{}{}
 	}
@@ -225,6 +233,13 @@
 		for _, l := range f.Lines {
 			s.lacks[l.ID] = struct{}{}
 		}
+		if len(f.Same) > 0 {
+			for _, l := range c.Store.Lines() {
+				if inSame(f.Same, l.ID) {
+					s.lacks[l.ID] = struct{}{}
+				}
+			}
+		}
 	}
 	if c.Take != nil {
 		c.Take(f)
@@ -242,6 +257,9 @@
 	if c.OnFeed != nil {
 		c.OnFeed(f)
 	}
+	if c.Turn != nil {
+		c.Turn.word(s, f)
+	}
 	s.mend(f, now)
 	if now.Sub(s.renewed) >= renewEach {
 		s.renewed = now
--- a/internal/office/feed/source.go
+++ b/internal/office/feed/source.go
@@ -74,9 +74,13 @@
 // send sends feeds until the connection ends. It wakes for news and once in half a second.
 func (s *Source) send(conn *trunk.Conn, hello *trunk.Hello) {
 	seq, beats := uint64(0), uint64(0)
+	var same *Same
 	if hello.Of == s.Store.Life() {
 		seq = hello.Seq
+	} else {
+		same = s.Store.Same(hello.Sums)
 	}
+	told := same.Told()
 	tellsBeats := hello.Class == Control && s.Beats != nil
 	if tellsBeats {
 		_, beats = s.Beats(0) // what was heard before is old by now
@@ -96,8 +100,8 @@
 				voters, f.Voters = now, now
 			}
 		}
-		f.Items, f.Lines, seq, f.Whole = s.Store.Since(seq, pieceOf)
-		f.Seq = seq
+		f.Items, f.Lines, seq, f.Whole = s.Store.SinceBut(seq, pieceOf, same)
+		f.Seq, f.Same, told = seq, told, nil
 		if hello.Class == Control {
 			f.Items = nil // they take none but from what was chosen (trunk.Since)
 		}
--- a/internal/office/feed/store.go
+++ b/internal/office/feed/store.go
@@ -28,13 +28,16 @@
 	news    chan struct{}
 	waiting bool // somebody has news
 	names   map[string]string
+	sums    sums
 }
 
 // slot is the last change of an item or of a line. The items themselves are in the book.
 type slot struct {
-	seq  uint64
-	key  directory.Key // kind 0: a line
-	line lines.Line
+	seq    uint64
+	key    directory.Key // kind 0: a line
+	line   lines.Line
+	bucket uint8
+	sum    uint64 // its part of the sum of its bucket
 }
 
 type change struct {
@@ -201,6 +204,7 @@
 }
 
 func (s *Store) drop(at int32) {
+	s.sums[s.slots[at].bucket] -= s.slots[at].sum
 	delete(s.lines, s.slots[at].line.ID)
 	s.slots[at] = slot{}
 	s.free = append(s.free, at)
@@ -234,6 +238,11 @@
 // there is any, and else no more than about that many bytes. Last is the number to ask with next; whole, that nothing more
 // is behind it. It costs what it returns.
 func (s *Store) Since(seq uint64, most int) (items []directory.Item, ls []lines.Line, last uint64, whole bool) {
+	return s.SinceBut(seq, most, nil)
+}
+
+// SinceBut is Since without what the other is known to hold; nil: nothing.
+func (s *Store) SinceBut(seq uint64, most int, same *Same) (items []directory.Item, ls []lines.Line, last uint64, whole bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	at, _ := slices.BinarySearchFunc(s.log, seq, func(c change, seq uint64) int {
@@ -246,7 +255,7 @@
 	for ; at < len(s.log); at++ {
 		c := s.log[at]
 		e := &s.slots[c.slot]
-		if e.seq != c.seq {
+		if e.seq != c.seq || same.has(e.bucket, c.seq) {
 			continue
 		}
 		var item directory.Item
@@ -299,6 +308,7 @@
 func (s *Store) note(at int32) {
 	s.seq++
 	s.slots[at].seq = s.seq
+	s.tally(at)
 	s.log = append(s.log, change{s.seq, at})
 	if len(s.log) > 64+2*(len(s.slots)-len(s.free)) {
 		s.log = slices.DeleteFunc(s.log, func(c change) bool { return s.slots[c.slot].seq != c.seq })
--- /dev/null
+++ b/internal/office/feed/sums_test.go
@@ -0,0 +1,250 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"reflect"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"mulleinrouter/internal/office/directory"
+	"mulleinrouter/internal/office/lines"
+	"mulleinrouter/internal/office/trunk"
+)
+
+// holds is what a store holds, by buckets, as plainly as can be told: of lines, only what differs.
+func holds(s *Store) (all [buckets]map[string]any) {
+	items, ls, _, _ := s.Since(0, 1<<30)
+	put := func(b uint8, key string, x any) {
+		if all[b] == nil {
+			all[b] = map[string]any{}
+		}
+		all[b][key] = x
+	}
+	for _, i := range items {
+		put(itemBucket(i.Key), fmt.Sprint(i.Key), i)
+	}
+	for _, l := range ls {
+		l.Seq, l.ColdTill = 0, 0
+		put(lineBucket(l.ID), l.ID, l)
+	}
+	return all
+}
+
+// Two stores find the same just those buckets in which they hold the same, and what is left out for it is not missed.
+func TestSums(t *testing.T) {
+	for seed := range uint64(60) {
+		is := is.New(t)
+		odds := rand.New(rand.NewPCG(seed, 8))
+		source, to, twin := NewStore(1), NewStore(2), NewStore(3)
+		merge := func(items []directory.Item, ls []lines.Line, into ...*Store) {
+			for _, s := range into {
+				s.MergeItems(append([]directory.Item(nil), items...))
+				s.MergeLines(ls)
+			}
+		}
+		stray := odds.IntN(40) // in a thousand
+		change := func(into ...*Store) {
+			n := odds.IntN(900)
+			if n < 300 {
+				merge([]directory.Item{item(n, uint64(1+odds.IntN(5)))}, nil, into...)
+				return
+			}
+			l := lines.Line{ID: fmt.Sprint("i", n), Service: "s", Address: fmt.Sprint("10.0.0.", odds.IntN(2)), Zone: "z", Slots: 2, Seq: uint64(odds.IntN(5)), Phase: lines.Phase(odds.IntN(4))}
+			merge(nil, []lines.Line{l}, into...)
+		}
+		for range 4000 {
+			switch {
+			case odds.IntN(1000) >= stray:
+				change(source, to, twin)
+			case odds.IntN(2) == 0:
+				change(source)
+			default:
+				change(to, twin)
+			}
+			if odds.IntN(200) == 0 {
+				gone := []string{fmt.Sprint("i", 300+odds.IntN(600))}
+				source.ForgetLines(gone)
+				to.ForgetLines(gone)
+				twin.ForgetLines(gone)
+			}
+		}
+		told := to.Sums()
+		is.Equal(len(told), 8*buckets)
+		same := source.Same(told)
+		here, there := holds(source), holds(to)
+		left := 0
+		for b := range buckets {
+			equal := len(here[b]) == 0 && len(there[b]) == 0 || reflect.DeepEqual(here[b], there[b])
+			is.Equal(same.has(uint8(b), same.upTo), equal)
+			if equal {
+				left += len(here[b])
+			}
+		}
+		is.True(!same.has(0, same.upTo+1))
+		// What changes after they were compared is sent in any case.
+		for range odds.IntN(50) {
+			change(source)
+		}
+		sent := 0
+		for seq, whole := uint64(0), false; !whole; {
+			var items []directory.Item
+			var ls []lines.Line
+			items, ls, seq, whole = source.SinceBut(seq, 500, same)
+			sent += len(items) + len(ls)
+			merge(items, ls, to)
+		}
+		for seq, whole := uint64(0), false; !whole; {
+			var items []directory.Item
+			var ls []lines.Line
+			items, ls, seq, whole = source.Since(seq, 500)
+			merge(items, ls, twin)
+		}
+		is.Equal(holds(to), holds(twin))
+		items, ls, _, _ := source.Since(0, 1<<30)
+		is.True(sent <= len(items)+len(ls)-left+50)
+	}
+	is := is.New(t)
+	is.Equal(NewStore(1).Sums(), nil) // there is little
+	is.Equal(NewStore(1).Same([]byte{1}), nil)
+}
+
+// sources is three sources of one agent, at unlike distances.
+type sources struct {
+	all    [3]*exchange
+	far    [3]time.Duration
+	mute   [3]bool // it takes connections and says nothing
+	breaks [3]bool // its first connection ends soon
+	lines  atomic.Int64
+	feeds  [3]atomic.Int64
+	store  *Store
+	turn   Turn
+	client [3]*Client
+}
+
+// slow is a connection whose bytes take a while.
+type slow struct{ net.Conn }
+
+func (s slow) Read(b []byte) (int, error) {
+	time.Sleep(5 * time.Millisecond)
+	return s.Conn.Read(b)
+}
+
+func (s *sources) run(ctx context.Context, all *sync.WaitGroup) {
+	for k := range s.all {
+		c := &Client{Node: "n", Class: Agent, Life: 77, Seed: uint64(k), Store: s.store, Clock: NewClock(func() float64 { return 0 }), Tell: true, Turn: &s.turn}
+		c.Dial = func(ctx context.Context) (net.Conn, error) {
+			time.Sleep(s.far[k])
+			if s.mute[k] {
+				here, there := net.Pipe()
+				go trunk.NewConn(there).Run(func(*trunk.Frame) *trunk.Frame { return nil })
+				return here, nil
+			}
+			nc, err := s.all[k].dial(ctx)
+			if err != nil {
+				return nil, err
+			}
+			if s.breaks[k] {
+				s.breaks[k] = false
+				time.AfterFunc(20*time.Millisecond, func() { nc.Close() })
+			}
+			return slow{nc}, nil
+		}
+		c.Take = func(f *trunk.Feed) {
+			s.lines.Add(int64(len(f.Lines)))
+			s.feeds[k].Add(1)
+			c.merge(f)
+		}
+		s.client[k] = c
+		all.Go(func() { c.Run(ctx) })
+	}
+}
+
+// A newcomer takes the whole once, from the nearest source, and of the others only what differs; also when one of
+// them begins a new life.
+func TestTurn(t *testing.T) {
+	const things = 2000
+	for name, trouble := range map[string]string{"calm": "", "the nearest is mute": "mute", "the nearest breaks off": "break", "the nearest is gone": "gone"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				s := &sources{store: NewStore(77), far: [3]time.Duration{time.Millisecond, 3 * time.Millisecond, 4 * time.Millisecond}}
+				var from [3]*Store
+				fill := func(k int, life uint64, but int) {
+					s.all[k].cut()
+					from[k] = s.all[k].restart(life)
+					for n := range things {
+						if n >= but {
+							from[k].MergeLines([]lines.Line{{ID: fmt.Sprint("i", n), Service: "s", Seq: uint64(1 + k), Address: "a"}})
+						}
+					}
+				}
+				for k := range s.all {
+					s.all[k] = &exchange{}
+					fill(k, uint64(1+k), 0)
+				}
+				from[1].MergeLines([]lines.Line{{ID: "i5", Service: "s", Seq: 9, Address: "a", Phase: lines.Draining}})
+				switch trouble {
+				case "mute":
+					s.mute[0] = true
+				case "break":
+					s.breaks[0] = true
+				case "gone":
+					s.all[0].source = nil
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				var all sync.WaitGroup
+				s.run(ctx, &all)
+				if trouble == "mute" {
+					time.Sleep(turnQuiet)
+				}
+				time.Sleep(200 * time.Millisecond)
+				synctest.Wait()
+				for k, c := range s.client {
+					if k > 0 || trouble == "" {
+						is.True(c.State().Whole)
+					}
+				}
+				l, _ := s.store.Line("i5")
+				is.Equal(l.Phase, lines.Draining)
+				is.Equal(len(s.store.Lines()), things)
+				if trouble != "break" { // where what had come by then comes twice
+					is.True(s.lines.Load() < things+200)
+				}
+				is.True(s.lines.Load() < 2*things)
+				time.Sleep(2 * time.Second)
+
+				// One begins a new life, and has lost ten. Only what differs comes, and it learns the ten and no others.
+				s.lines.Store(0)
+				var learned atomic.Int64
+				fill(2, 9, 10)
+				s.all[2].mu.Lock()
+				s.all[2].source.Learn = func(ls []lines.Line) {
+					learned.Add(int64(len(ls)))
+					from[2].MergeLines(ls)
+				}
+				s.all[2].mu.Unlock()
+				time.Sleep(10 * time.Second)
+				synctest.Wait()
+				is.Equal(s.client[2].State().Life, uint64(9))
+				is.True(s.client[2].State().Whole)
+				is.True(s.lines.Load() < 200)
+				is.Equal(learned.Load(), int64(10))
+				is.Equal(len(from[2].Lines()), things)
+				cancel()
+				all.Wait()
+				for _, x := range s.all {
+					x.cut()
+				}
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/internal/office/trunk/frame.go
+++ b/internal/office/trunk/frame.go
@@ -36,15 +36,16 @@
 
 // Hello subscribes to a source.
 type Hello struct {
-	Node  string       `cbor:"1,keyasint"`           // whose
-	Class string       `cbor:"2,keyasint"`           // "agent", "proxy" or "control"
-	Life  uint64       `cbor:"3,keyasint"`           // of the process that subscribes, drawn at its start
-	Of    uint64       `cbor:"4,keyasint,omitempty"` // life of the source that Seq belongs to
-	Seq   uint64       `cbor:"5,keyasint,omitempty"` // had from that life already: only what is behind it is sent
-	Lines []lines.Line `cbor:"6,keyasint,omitempty"` // known here; a source that lost its own learns them (read repair)
-	Epoch uint64       `cbor:"7,keyasint,omitempty"` // of the newest whole that is complete here
-	Zone  string       `cbor:"9,keyasint,omitempty"` // of an ingress
-	At    string       `cbor:"8,keyasint,omitempty"` // where a control node that subscribes is itself reached, host:port
+	Node  string       `cbor:"1,keyasint"`            // whose
+	Class string       `cbor:"2,keyasint"`            // "agent", "proxy" or "control"
+	Life  uint64       `cbor:"3,keyasint"`            // of the process that subscribes, drawn at its start
+	Of    uint64       `cbor:"4,keyasint,omitempty"`  // life of the source that Seq belongs to
+	Seq   uint64       `cbor:"5,keyasint,omitempty"`  // had from that life already: only what is behind it is sent
+	Lines []lines.Line `cbor:"6,keyasint,omitempty"`  // known here; a source that lost its own learns them (read repair)
+	Epoch uint64       `cbor:"7,keyasint,omitempty"`  // of the newest whole that is complete here
+	Zone  string       `cbor:"9,keyasint,omitempty"`  // of an ingress
+	At    string       `cbor:"8,keyasint,omitempty"`  // where a control node that subscribes is itself reached, host:port
+	Sums  []byte       `cbor:"20,keyasint,omitempty"` // of what is known here (feed.Store.Sums): a source of another life than Of leaves out what is the same
 }
 
 // Feed is news from a source: a heartbeat where it has nothing else. Seq is that of the last of its changes that is in it.
@@ -63,6 +64,7 @@
 	Rank    int              `cbor:"12,keyasint,omitempty"` // of the subscriber among the ingresses of its zone, from 0
 	Peers   int              `cbor:"13,keyasint,omitempty"` // ingresses in its zone, with it; 0: it has no rank
 	Voters  []string         `cbor:"14,keyasint,omitempty"` // control addresses of the electorate, as the source knows it; none: as told before
+	Same    []byte           `cbor:"20,keyasint,omitempty"` // bits, of the buckets that were found the same and are left out; in the first feed alone
 }
 
 // Heard is a beat of a server, told among control nodes.
