--- a/internal/tandem/catchup_mutants_test.go
+++ b/internal/tandem/catchup_mutants_test.go
@@ -22,3 +22,11 @@
 		t.Logf("%s: seed %d: %s", Mutant, seed-1, wrong)
 	}
 }
+
+func TestReadyBehindMutant(t *testing.T) {
+	defer func() { Mutant = "" }()
+	Mutant = "ready-behind"
+	if ready, _ := readyBehind(t); ready <= readyBound {
+		t.Error("not found")
+	}
+}
--- a/internal/tandem/catchup_test.go
+++ b/internal/tandem/catchup_test.go
@@ -502,6 +502,56 @@
 	})
 }
 
+// readyBehind has a node that is in contact and was ready miss a large change over a slow link. It tells for how long the node told others
+// that it was ready with its old whole, and for how long it was without the new one.
+func readyBehind(t *testing.T) (ready, behind time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCore(t, 3)
+		c.links = &meter{}
+		for _, a := range c.seeds {
+			c.cut(a, true)
+		}
+		for _, a := range c.seeds {
+			c.cut(a, false)
+		}
+		pass(3 * time.Second)
+		h := &history{rnd: rand.New(rand.NewPCG(4, 1)), names: 2000, size: 1024, each: 2000}
+		h.grow(1)
+		for _, a := range c.seeds {
+			h.bring(c.nodes[a].voter, 1)
+		}
+		pass(5 * time.Second)
+		m := c.nodes[c.seeds[2]]
+		c.True(m.ready())
+		c.links.set(2e6 / 8)
+		h.grow(8)
+		for _, a := range c.seeds[:2] {
+			h.bring(c.nodes[a].voter, uint64(len(h.changes)))
+		}
+		for began := time.Now(); m.store.Epoch() < uint64(len(h.changes)); pass(10 * time.Millisecond) {
+			if behind = time.Since(began); m.ready() {
+				ready = behind
+			}
+			c.True(behind < time.Minute)
+		}
+		pass(time.Second)
+		c.True(m.ready())
+		c.end()
+		pass(time.Second)
+	})
+	return ready, behind
+}
+
+const readyBound = lagMost + trunk.Beat + 2*tick
+
+func TestReadyBehind(t *testing.T) {
+	ready, behind := readyBehind(t)
+	t.Logf("behind for %v, ready for %v of it", behind, ready)
+	if ready > readyBound || behind < 2*readyBound {
+		t.Error("ready for too long, or not behind for long enough to tell")
+	}
+}
+
 // The figures of worst-days.md: a node that missed 1,000 changes, and one whose disk is empty after a day of 600, over links of 2 Mbit/s each
 // way. Times are the bubble's, bytes all that went over the links meanwhile, heartbeats with them.
 func TestCatchUpFigures(t *testing.T) {
--- a/internal/tandem/node.go
+++ b/internal/tandem/node.go
@@ -541,7 +541,7 @@
 // span of contact began, and servers have had the time to call.
 func (n *Node) ready() bool {
 	term, ok := n.contact.holds()
-	return ok && n.confirmed.Load() == term && !n.behind.Load() && n.store.Epoch() > 0 && (n.warm.Load() || n.up() > 1.2*n.settings.Beat)
+	return ok && n.confirmed.Load() == term && (!n.behind.Load() || mutated("ready-behind")) && n.store.Epoch() > 0 && (n.warm.Load() || n.up() > 1.2*n.settings.Beat)
 }
 
 // serveInner takes agents and control nodes.
