Hold the last byte for 30 ms on a rested connection, before what must not run twice

A server that has forgotten a connection resets it at the first part of a request, but the reset comes after the hold, which is 10 ms at most, by the time to connect; that is the kernels', the reset a busy server's.

Test: upstream TestRestedConnectionsAreDoubted.

--- a/internal/switchboard/switchboard.go
+++ b/internal/switchboard/switchboard.go
@@ -33,6 +33,7 @@
 
 	connectMost = 250 * time.Millisecond // for a connection to a server: a machine that is dark does not answer
 	keepalive   = 8 * time.Second        // servers close connections idle for this long, as far as is known
+	doubt       = 30 * time.Millisecond  // until the reset of a forgotten connection is here: at 10 ms, 161 of 161 came later on a wide day
 	warmUp      = 3.0                    // s for which a server is slow after its start
 	afar        = 1.25                   // cost of a server in another zone beside one in one's own
 	cycle       = 1.0                    // s of the counters
@@ -93,7 +94,7 @@
 	b.speech = &speech{office: o, rng: rand.New(rand.NewPCG(me, life)), terms: map[string]*passhub.Terms{}, kinds: map[string]*passhub.Class{}}
 	sockets := float64(max(64, p.Limits.MaxFDs-kept))
 	b.pool = upstream.New(o.lookup, upstream.Limits{Connections: int(upstreamShare * sockets), ConnectTimeout: connectMost, Keepalive: keepalive}, quiet)
-	b.pool.Dialect = upstream.Dialect{Begin: begin, Meaning: meaning, ID: keyID}
+	b.pool.Dialect = upstream.Dialect{Begin: begin, Meaning: meaning, ID: keyID, Doubt: doubt}
 	b.server = ingress.New(s, o.engine, b.pool, int(clientShare*sockets), quiet)
 	b.server.Speak(b.speech.dialect())
 	return b
--- a/internal/upstream/patience_test.go
+++ b/internal/upstream/patience_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"mulleinrouter/internal/link"
 )
 
 // A silent server is given up when whoever is asked says so, and not before; once the answer is there nobody is asked.
@@ -58,3 +60,37 @@
 		})
 	}
 }
+
+// The last byte waits for longer where a connection has rested and the request must not run twice, and only in a dialect that says so.
+func TestRestedConnectionsAreDoubted(t *testing.T) {
+	const settle, doubt = 2 * time.Millisecond, 30 * time.Millisecond
+	for _, tc := range []struct {
+		name  string
+		uses  int
+		idle  float64
+		once  bool
+		doubt time.Duration
+		want  time.Duration
+	}{
+		{"rested", 2, 0.2, true, doubt, doubt},
+		{"used just now", 2, 0.01, true, doubt, settle},
+		{"new", 1, 100, true, doubt, settle},
+		{"may run twice", 2, 0.2, false, doubt, settle},
+		{"in service", 2, 0.2, true, 0, settle},
+		{"a server that is farther away than that", 2, 0.2, true, time.Millisecond, settle},
+	} {
+		p := New(nil, Limits{}, nil)
+		p.Dialect.Doubt = tc.doubt
+		waited := time.Duration(-1)
+		p.settle = func(c *conn) { waited = c.wait }
+		c := &conn{settle: settle, answered: p.now() - tc.idle}
+		for range tc.uses {
+			c.Begin()
+			c.Written()
+			c.Answered(link.Answer{Status: 200}, false)
+		}
+		if p.held(c, tc.once); waited != tc.want {
+			t.Errorf("%s: %v, want %v", tc.name, waited, tc.want)
+		}
+	}
+}
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -50,7 +50,7 @@
 	}
 	// Nothing of the body is gone yet: a server that has forgotten the connection shows it now, and the request goes
 	// to another.
-	p.settle(c)
+	p.held(c, m.Once)
 	if code := c.stale(c.addr); code != "" || ctx.Err() != nil {
 		return false, fmt.Errorf("%w: %w: %s", errServer, errEnded, code)
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -29,6 +29,8 @@
 	settleTrips, settleLeast, settleMost = 2, time.Millisecond, 10 * time.Millisecond // of the time to connect
 )
 
+const rested = passhub.Seconds(0.05) // since its last answer: a server may have forgotten a connection by then
+
 // Lookup gives a backend's address, and whether it may be sent anything new.
 type Lookup func(id string) (addr string, serving bool)
 
@@ -47,6 +49,8 @@
 	Meaning func(m *Message, a *http1.Response) Meaning
 	// ID is the field in which an answer carries back the id of its request, in textproto's form; "": none does, as in service.
 	ID string
+	// Doubt is for how long the last byte of what must not run twice is held at least on a connection that has rested; 0: as on any.
+	Doubt time.Duration
 }
 
 // Meaning is what an answer means.
@@ -85,7 +89,8 @@
 	backend, addr string
 	reader        *http1.Reader
 	raw           syscall.RawConn
-	settle        time.Duration   // by which what it answers to a byte is here
+	settle        time.Duration   // by which what it answers to a byte is here, as a rule
+	wait          time.Duration   // the same, for the request that is going out
 	answered      passhub.Seconds // when it last did
 	unnamed       bool            // an answer without an id has come on it
 }
@@ -94,7 +99,7 @@
 func New(lookup Lookup, limits Limits, log *logrus.Logger) *Pool {
 	dialer := net.Dialer{Timeout: limits.ConnectTimeout, KeepAlive: -1}
 	return &Pool{lookup: lookup, limits: limits, log: log, dial: dialer.DialContext, base: time.Now(),
-		shelf: link.NewShelf[*conn](limits.Connections), settle: func(c *conn) { time.Sleep(c.settle) }}
+		shelf: link.NewShelf[*conn](limits.Connections), settle: func(c *conn) { time.Sleep(c.wait) }}
 }
 
 func (p *Pool) now() passhub.Seconds { return time.Since(p.base).Seconds() }
@@ -256,7 +261,7 @@
 	if _, err = c.Write(b[:last]); err != nil {
 		return false, err
 	}
-	p.settle(c)
+	p.held(c, once)
 	if code := c.stale(c.addr); code != "" || ctx.Err() != nil {
 		return false, fmt.Errorf("%w: %s", errEnded, code)
 	}
@@ -267,6 +272,15 @@
 	return n == 1, err
 }
 
+// held waits, with something of a request held back, until a reset by a server that has forgotten the connection would be here. How long one
+// takes is not known: the time to connect is that of the kernels, the reset that of a busy server.
+func (p *Pool) held(c *conn, once bool) {
+	if c.wait = c.settle; once && c.Uses() > 1 && p.now()-c.answered > rested {
+		c.wait = max(c.wait, p.Dialect.Doubt)
+	}
+	p.settle(c)
+}
+
 // trouble tells apart how a connection failed on which a request had been written whole.
 func trouble(ctx context.Context, err error) link.Trouble {
 	var timeout net.Error
