--- a/internal/tandem/orders_test.go
+++ b/internal/tandem/orders_test.go
@@ -4,12 +4,16 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
 	"net/http/httptest"
+	"os"
 	"slices"
 	"strings"
 	"sync"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -819,3 +823,18 @@
 		}
 	}
 }
+
+// A body that stalls says nothing about what it holds, so its order may come again; one that ends short is refused.
+func TestBodiesThatDoNotCome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCore(t, 1)
+		pass(2 * time.Second)
+		for err, want := range map[error]int{&net.OpError{Op: "read", Err: os.ErrDeadlineExceeded}: 408, io.ErrUnexpectedEOF: 400} {
+			got := httptest.NewRecorder()
+			body := io.MultiReader(strings.NewReader(`{"upsert":`), iotest.ErrReader(err))
+			c.nodes[c.seeds[0]].server().Handler.ServeHTTP(got, httptest.NewRequest("PATCH", "/config", body))
+			c.Equal(got.Code, want)
+		}
+		c.end()
+	})
+}
