--- a/internal/switchboard/switchboard.go
+++ b/internal/switchboard/switchboard.go
@@ -94,7 +94,10 @@
 	b.speech = &speech{office: o, rng: rand.New(rand.NewPCG(me, life)), terms: map[string]*passhub.Terms{}, kinds: map[string]*passhub.Class{}}
 	sockets := float64(max(64, p.Limits.MaxFDs-kept))
 	b.pool = upstream.New(o.lookup, upstream.Limits{Connections: int(upstreamShare * sockets), ConnectTimeout: connectMost, Keepalive: keepalive}, quiet)
-	b.pool.Dialect = upstream.Dialect{Begin: begin, Meaning: meaning, ID: keyID, Doubt: doubt}
+	b.pool.Dialect = upstream.Dialect{Begin: begin, Meaning: meaning, ID: keyID}
+	if p.Clauses["pool"] { // servers there forget connections that rest
+		b.pool.Dialect.Doubt = doubt
+	}
 	b.server = ingress.New(s, o.engine, b.pool, int(clientShare*sockets), quiet)
 	b.server.Speak(b.speech.dialect())
 	return b
