Play cuts of 20 s on real nodes in fake time; begin fences anew with each span of contact

Cause seen, by reading: after a stop of 20 s a pong may come before watch's tick. Contact holds again, the living are those of before, so tally's Duty saw no difference, its fence did not begin, and the keeper answered for names that another had kept meanwhile (watch and count in internal/tandem/node.go). A new span of contact now begins the fence, the registry's patience and the time in which ingresses are counted as before.

--- a/internal/tandem/calls.go
+++ b/internal/tandem/calls.go
@@ -143,7 +143,7 @@
 		return noContact
 	}
 	a := c.do(n, r, body)
-	if _, ok := n.contact.holds(); c.contact && !ok {
+	if c.contact && !n.held() && !mutated("acknowledges-alone") {
 		return noContact // the process may have stood still meanwhile
 	}
 	return a
@@ -152,7 +152,7 @@
 // touch tells whether this node is in contact with a majority. Just after the start it waits a little for the first contact: all may
 // have started at once.
 func (n *Node) touch(ctx context.Context) bool {
-	if _, ok := n.contact.holds(); ok {
+	if n.held() || mutated("acknowledges-alone") {
 		return true
 	}
 	left := min(touchMost, touchFrom-time.Since(n.started))
@@ -166,8 +166,7 @@
 	case <-t.C:
 	case <-ctx.Done():
 	}
-	_, ok := n.contact.holds()
-	return ok
+	return n.held()
 }
 
 // read reads a body. For a long one memory is taken as it comes, not as its length claims.
--- a/internal/tandem/contact.go
+++ b/internal/tandem/contact.go
@@ -1,7 +1,6 @@
 package tandem
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +38,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.look()
+	if mutated("contact-from-the-answer") {
+		asked = c.now()
+	}
 	if at, ok := c.asked[by]; !ok || asked > at {
 		c.asked[by] = asked
 	}
@@ -53,7 +55,7 @@
 			living = append(living, v)
 		}
 	}
-	held := len(voters) > 0 && len(living) >= ballot.Majority(len(voters)) || mutated("always-in-contact")
+	held := len(voters) > 0 && len(living) >= ballot.Majority(len(voters))
 	if held && !c.held {
 		if c.term++; c.term == 1 {
 			close(c.first)
@@ -72,16 +74,18 @@
 func (c *contact) holds() (term uint64, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.look()
+	if !mutated("contact-as-last-looked") {
+		c.look()
+	}
 	return c.term, c.held
 }
 
-// living is the voters in contact now, this node with them if it is one, and whether they are a majority.
-func (c *contact) living() (living []string, majority bool) {
+// living is the voters in contact now, this node with them if it is one, whether they are a majority, and in which span.
+func (c *contact) living() (living []string, term uint64, majority bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	living = c.look()
-	return slices.Clip(living), c.held
+	return living, c.term, c.held
 }
 
 // age is how long ago a question was put to a node that it has answered; negative: none was answered.
--- a/internal/tandem/node.go
+++ b/internal/tandem/node.go
@@ -76,6 +76,7 @@
 	keeper struct {
 		sync.Mutex
 		*tally.Keeper
+		term uint64 // the span of contact in which it was last told its duty
 	}
 
 	behind    atomic.Bool // another node has had a newer whole for a while (see lags)
@@ -449,6 +450,7 @@
 func (n *Node) watch(ctx context.Context) {
 	t := time.NewTicker(tick)
 	defer t.Stop()
+	last, since := uint64(0), n.started // the span of contact
 	for round := 0; ; round++ {
 		select {
 		case <-ctx.Done():
@@ -458,15 +460,23 @@
 		}
 		now := time.Now()
 		n.ping()
-		living, quorum := n.contact.living()
+		living, term, quorum := n.contact.living()
 		if n.seen.Swap(quorum) != quorum {
 			n.log.Log("msg", "quorum", "heard", quorum)
 			n.store.Nudge()
 		}
+		if term != last {
+			// Contact was lost, seen or not, and is there again: what was counted before is no ground to judge by.
+			last, since = term, now
+			if m := n.members.Load(); m > 0 {
+				n.before.Store(m)
+			}
+			n.roll.lapsed()
+		}
 		if due := n.roll.judge(quorum || mutated("judges-alone")); len(due) > 0 {
 			n.log.Log("msg", "lines judged", "count", len(due), "first", due[0].ID, "phase", due[0].Phase)
 		}
-		if members := n.counted(now); n.members.Swap(members) != members {
+		if members := n.counted(now, since); quorum && n.members.Swap(members) != members {
 			n.log.Log("msg", "ingresses", "count", members)
 			if disk := n.vault.Load(); disk != nil && members > 0 {
 				disk.Put(vault.Batch{Members: int(members), Lazy: true})
@@ -476,10 +486,8 @@
 			all := n.leases.ranked()
 			n.places.Store(&all)
 		}
-		n.keeper.Lock()
-		n.keeper.Duty(n.up(), n.inners(living), n.config.InnerOf(n.self), quorum || mutated("keeps-counters-alone"))
-		n.keeper.Unlock()
-		if term, ok := n.contact.holds(); ok && (n.confirmed.Load() != term || n.orphan(now)) {
+		n.duty(living, term, quorum)
+		if quorum && (n.confirmed.Load() != term || n.orphan(now)) {
 			n.desk.settle()
 		}
 		n.sweep()
@@ -491,11 +499,24 @@
 	}
 }
 
-// counted is how many ingresses hold a lease. While they may not all have renewed it with a node that has just started, it is at least
-// as many as were counted before: parts of quotas that are too large cannot be taken back. 0: it is not known.
-func (n *Node) counted(now time.Time) int64 {
+// duty tells the keeper of counters who shares them. In a new span of contact its fence begins anew: another may have kept them meanwhile.
+func (n *Node) duty(living []string, term uint64, quorum bool) {
+	n.keeper.Lock()
+	defer n.keeper.Unlock()
+	me := n.config.InnerOf(n.self)
+	if n.keeper.term != term && !mutated("duty-through-a-lapse") {
+		n.keeper.Duty(n.up(), nil, me, false)
+	}
+	n.keeper.term = term
+	n.keeper.Duty(n.up(), n.inners(living), me, quorum || mutated("keeps-counters-alone"))
+}
+
+// counted is how many ingresses hold a lease. While they may not all have renewed it with a node that has just started, or has just come
+// into contact again, it is at least as many as were counted before: parts of quotas that are too large cannot be taken back. 0: it
+// is not known.
+func (n *Node) counted(now, since time.Time) int64 {
 	count := int64(n.leases.count(now))
-	switch up := now.Sub(n.started); {
+	switch up := now.Sub(since); {
 	case up < countFrom:
 		return n.before.Load()
 	case up < countFrom+2*leaseFor:
@@ -541,6 +562,9 @@
 // span of contact began, and servers have had the time to call.
 func (n *Node) ready() bool {
 	term, ok := n.contact.holds()
+	if mutated("ready-alone") {
+		ok, term = true, n.confirmed.Load()
+	}
 	return ok && n.confirmed.Load() == term && (!n.behind.Load() || mutated("ready-behind")) && n.store.Epoch() > 0 && (n.warm.Load() || n.up() > 1.2*n.settings.Beat)
 }
 
@@ -593,11 +617,11 @@
 	if a == nil {
 		return nil
 	}
-	if !n.held() && !mutated("keeps-counters-alone") {
-		return &trunk.Frame{Total: &trunk.Total{}}
-	}
 	n.keeper.Lock()
 	defer n.keeper.Unlock()
+	if term, ok := n.contact.holds(); (!ok || term != n.keeper.term) && !mutated("keeps-counters-alone") {
+		return &trunk.Frame{Total: &trunk.Total{}}
+	}
 	sum, holders, ok := n.keeper.Add(n.up(), a.Name, a.Cycle, a.Holder, a.Amount, a.Read, a.One, a.Serial, a.Keep)
 	return &trunk.Frame{Total: &trunk.Total{OK: ok, Sum: sum, Holders: holders}}
 }
--- a/internal/tandem/node_test.go
+++ b/internal/tandem/node_test.go
@@ -37,6 +37,7 @@
 	off map[string]bool // cut off from all others
 
 	links *meter // nil: they are as fast as can be, and nobody counts
+	veil  *veil  // cuts that nobody is told of; nil: there are none
 }
 
 // machine is one of them with its disk.
@@ -118,8 +119,10 @@
 func (f hangingFile) Sync() error     { f.wait(); return f.File.Sync() }
 func (f hangingFile) SyncData() error { f.wait(); return f.File.SyncData() }
 
-func newCore(t *testing.T, n int) *core {
-	c := &core{I: is.New(t), t: t, nodes: map[string]*machine{}, off: map[string]bool{}}
+func newCore(t *testing.T, n int) *core { return newCoreOver(t, n, nil) }
+
+func newCoreOver(t *testing.T, n int, v *veil) *core {
+	c := &core{I: is.New(t), t: t, nodes: map[string]*machine{}, off: map[string]bool{}, veil: v}
 	for i := range n {
 		c.seeds = append(c.seeds, fmt.Sprintf("10.0.0.%d:81", i+1))
 	}
@@ -154,13 +157,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, m := range c.nodes {
-		if m.settings.InnerOf(m.addr) != inner || c.off[m.addr] || c.off[from] {
+		if m.settings.InnerOf(m.addr) != inner || c.off[m.addr] || c.off[from] || c.veil.between(from, m.addr) {
 			continue
 		}
 		here, there := net.Pipe()
 		if c.links != nil {
 			here, there = c.links.wrap(here), c.links.wrap(there)
 		}
+		if c.veil != nil {
+			here, there = c.veil.over(from, m.addr, here, there)
+		}
 		for _, x := range []*machine{m, c.nodes[from]} {
 			if x != nil {
 				x.inner.mu.Lock()
--- a/internal/tandem/roll.go
+++ b/internal/tandem/roll.go
@@ -180,6 +180,13 @@
 	return r.known.Recent(since, mostHeard)
 }
 
+// lapsed notes that contact has been lost meanwhile.
+func (r *roll) lapsed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.known.Hears(r.now(), false)
+}
+
 // judge returns the lines that have become silent or gone by now.
 func (r *roll) judge(quorum bool) []lines.Line {
 	r.mu.Lock()
