Make the electorate part of what is chosen

A change may name another electorate, which stands from its own epoch on; the change to e+1 is promised and accepted by a majority of the electorate in the whole of e alone. A voter is an address with the name of its disk, so an empty disk is another voter: it comes in by a change of the electorate that the others choose, and the recovery of votes by eras (ballot.Recovery) is gone with its proof. Weighed and left: recovery beside a changing electorate. A change of the electorate is sealed by an empty one under the new electorate before it is called done. The folder is of version 3; one of version 2 is read as the electorate of epoch 0.

What goes: a first start in which more than half of the seeds fall before they have written anything is made again by hand.

--- a/internal/office/trunk/frame.go
+++ b/internal/office/trunk/frame.go
@@ -135,8 +135,10 @@
 	Promised ballot.Ballot    `cbor:"3,keyasint,omitempty"`
 	Pending  *ballot.Proposal `cbor:"4,keyasint,omitempty"`
 	Blank    bool             `cbor:"5,keyasint,omitempty"` // the one that answers has an empty disk itself, and knows nothing
-	Voters   []string         `cbor:"6,keyasint,omitempty"` // addresses of the control nodes that choose
+	Voters   []string         `cbor:"6,keyasint,omitempty"` // told by a node of an older version: the electorate of the first start
 	Lines    []lines.Line     `cbor:"7,keyasint,omitempty"` // kept on its disk
+
+	Electorate ballot.Electorate `cbor:"10,keyasint,omitempty"` // that stands in the whole of Epoch
 }
 
 // Hold asks a control node to keep lines on its disk, synced, before it answers.
--- a/internal/tandem/ballot/ballot.go
+++ b/internal/tandem/ballot/ballot.go
@@ -2,7 +2,7 @@
 // is one register, and any node may change it. A change is chosen once more than half of the voters have it on their
 // disks; who proposes the next one first learns of it from more than half, and so builds on it. Each change has an epoch, one more
 // than that of the whole it was checked against, so that two changes that are valid alone and invalid together are never
-// both chosen. It does no I/O, reads no clock and starts no goroutine.
+// both chosen. Who chooses is part of the whole too (see Electorate). It does no I/O, reads no clock and starts no goroutine.
 package ballot
 
 import (
@@ -22,11 +22,12 @@
 	return cmp.Or(cmp.Compare(b.Round, o.Round), cmp.Compare(b.Node, o.Node))
 }
 
-// Proposal is a change under a ballot: these items, upon the whole of the epoch before.
+// Proposal is a change under a ballot: these items, upon the whole of the epoch before, and who is to choose from then on.
 type Proposal struct {
 	Ballot Ballot           `cbor:"1,keyasint"`
 	Epoch  uint64           `cbor:"2,keyasint"`
 	Items  []directory.Item `cbor:"3,keyasint,omitempty"`
+	Voters []Voter          `cbor:"4,keyasint,omitempty"` // the electorate from this epoch on; nil: as it was
 }
 
 // Promise answers a ballot: whether it is promised, what was promised and accepted before, and the epoch of the last whole
@@ -36,9 +37,12 @@
 	Promised Ballot    `cbor:"2,keyasint"`
 	Epoch    uint64    `cbor:"3,keyasint"`
 	Pending  *Proposal `cbor:"4,keyasint,omitempty"` // accepted, not known to be chosen
+	Disk     uint64    `cbor:"5,keyasint,omitempty"` // that this is on: an answer counts for the voter that is listed with it
+	Since    uint64    `cbor:"6,keyasint,omitempty"` // epoch that set the electorate as it is there
 }
 
-// Accepted answers a proposal. Behind: the voter lacks the whole that it builds on, and Epoch is what it has.
+// Accepted answers a proposal. Behind: the voter lacks the whole that it builds on, and Epoch is what it has. Only a voter of the
+// electorate that stands in that whole says OK.
 type Accepted struct {
 	OK       bool   `cbor:"1,keyasint,omitempty"`
 	Behind   bool   `cbor:"2,keyasint,omitempty"`
--- a/internal/tandem/calls.go
+++ b/internal/tandem/calls.go
@@ -337,7 +337,7 @@
 		why = "it does not hear more than half of the voters"
 	case n.confirmed.Load() != term:
 		why = "the configuration here is not known to be the newest"
-	case epoch == 0:
+	case book.Len() == 0:
 		why = "there is no configuration yet"
 	default:
 		why = "servers have not had the time to call"
--- a/internal/tandem/catchup.go
+++ b/internal/tandem/catchup.go
@@ -114,9 +114,18 @@
 func (v *voter) take(q *trunk.Since, i *trunk.Items) (epoch uint64, moved bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	e := i.Electorate
+	if !e.Known() {
+		e = ballot.First(i.Voters)
+	}
+	if v.vault != nil && i.Epoch == v.a.Epoch && !v.a.Electorate.Known() && e.Known() && len(e.Voters) <= mostPeers {
+		v.a.Electorate = e
+		v.keep()
+		v.turned()
+	}
 	s := &v.staging
 	s.Base = max(s.Base, v.a.Epoch)
-	if v.vault == nil || i.Epoch <= v.a.Epoch || i.Epoch < s.Top && !mutated("older-source") || q.From != s.From || q.Epoch > s.Base || i.Next != 0 && i.Next <= q.From || !proper(i.Items) {
+	if !e.Known() || len(e.Voters) > mostPeers || v.vault == nil || i.Epoch <= v.a.Epoch || i.Epoch < s.Top && !mutated("older-source") || q.From != s.From || q.Epoch > s.Base || i.Next != 0 && i.Next <= q.From || !proper(i.Items) {
 		return v.a.Epoch, false
 	}
 	s.moved = time.Now()
@@ -126,7 +135,7 @@
 		for _, it := range s.items {
 			items = append(items, it)
 		}
-		v.apply(i.Epoch, items)
+		v.apply(ballot.Base{Epoch: i.Epoch, Electorate: e}, items)
 	} else if !direct {
 		stage := s.Stage
 		s.saved = true
@@ -146,7 +155,7 @@
 		v.mu.Unlock()
 		return nil
 	}
-	i := &trunk.Items{Epoch: v.a.Epoch, Promised: v.a.Promised, Blank: v.voters == nil, Voters: v.voters}
+	i := &trunk.Items{Epoch: v.a.Epoch, Promised: v.a.Promised, Blank: !v.a.Electorate.Known(), Electorate: v.a.Electorate}
 	book, recent := v.store.Book(), v.recent
 	v.mu.Unlock()
 	most := min(q.Most, pieceMost)
--- a/internal/tandem/node.go
+++ b/internal/tandem/node.go
@@ -116,16 +116,18 @@
 		store: feed.NewStore(c.Life), big: make(chan struct{}, 2), stir: make(chan struct{}, 1), ended: make(chan struct{}), lame: lameFor}
 	n.clock = feed.NewClock(n.up)
 	n.name = s.Node + "/" + lifeName(n.life)
-	n.voter = &voter{self: n.self, log: n.log, store: n.store, own: func(b ballot.Ballot) bool { return strings.HasPrefix(b.Node, n.name+"/") }}
+	n.voter = &voter{self: n.self, log: n.log, store: n.store, own: func(b ballot.Ballot) bool { return strings.HasPrefix(b.Node, n.name+"/") },
+		draw: func() uint64 { return n.life }, turned: n.stirred}
 	n.desk = newDesk(n)
 	n.roll = newRoll(n.store, s.Beat, n.up)
 	n.keeper.Keeper = tally.New()
 	n.doors.places = placesFor(s.Limits.MaxFDs)
-	n.contact = newContact(n.self, func() time.Duration { return time.Since(n.started) }, func() []string {
+	n.contact = newContact(n.self, func() time.Duration { return time.Since(n.started) }, n.voter.counted)
+	told := func() []string {
 		voters, _ := n.voter.electorate()
 		return voters
-	})
-	n.source = &feed.Source{Store: n.store, Voters: n.contact.voters, Clock: n.clock, Ready: n.ready, Quorum: n.held, Learn: n.roll.learn, Renewed: n.leases.renewed,
+	}
+	n.source = &feed.Source{Store: n.store, Voters: told, Clock: n.clock, Ready: n.ready, Quorum: n.held, Learn: n.roll.learn, Renewed: n.leases.renewed,
 		Beats: n.roll.recent, Place: n.place, Members: n.ingresses}
 	return n, nil
 }
@@ -149,6 +151,7 @@
 	n.meet(work, &all, n.settings.Seeds)
 	all.Go(func() { n.desk.run(work) })
 	all.Go(func() { n.watch(work) })
+	all.Go(func() { n.keepUp(work, &all) })
 	all.Go(func() { n.serveInner(work, inner, &all) })
 	opened := make(chan struct{})
 	go func() { // the disk may hang: nobody waits for this to end
@@ -216,7 +219,7 @@
 	}
 }
 
-// open reads the disk, and recovers the vote where the disk is empty and should not be.
+// open reads the disk, and has this node join the others.
 func (n *Node) open(ctx context.Context, all *sync.WaitGroup) error {
 	v, s, err := vault.Open(n.config.FS, n.settings.DataPath, n.log)
 	if err != nil {
@@ -239,104 +242,11 @@
 	n.stirred()
 	voters, votes := n.voter.electorate()
 	n.log.Log("msg", "disk read", "blank", s.Blank, "epoch", s.Acceptor.Epoch, "items", len(s.Items), "lines", len(s.Lines), "votes", votes)
-	if voters == nil {
-		n.recover(ctx, all)
-	} else {
-		n.meet(ctx, all, voters)
-	}
+	n.meet(ctx, all, voters)
+	n.join(ctx, all)
 	return nil
 }
 
-// recover finds the voters and, if this node is one of them, its vote (see ballot.Recovery).
-func (n *Node) recover(ctx context.Context, all *sync.WaitGroup) {
-	for ; ctx.Err() == nil; pause(ctx, askEach) {
-		voters, known := n.inquire()
-		if voters == nil {
-			continue
-		}
-		n.meet(ctx, all, voters)
-		if !slices.Contains(voters, n.self) {
-			n.voter.enter(voters, nil)
-			n.log.Log("msg", "relays", "voters", len(voters))
-			return
-		}
-		n.recoverVote(ctx, voters, known)
-		return
-	}
-}
-
-// inquire asks the other nodes who chooses, and takes what they know. Where all that this one was told of have empty disks too, it is
-// these.
-func (n *Node) inquire() (voters []string, known ballot.Ballot) {
-	var asking sync.WaitGroup
-	var mu sync.Mutex
-	var best uint64
-	answered, asked := 0, 0
-	n.each(func(x *peer) {
-		asked++
-		asking.Go(func() {
-			r := n.inventory(x)
-			if r == nil {
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			answered++
-			i := r
-			if i.Promised.Compare(known) > 0 {
-				known = i.Promised
-			}
-			if !i.Blank && len(i.Voters) > 0 && len(i.Voters) <= mostPeers && (voters == nil || i.Epoch > best) {
-				voters, best = i.Voters, i.Epoch
-			}
-		})
-	})
-	asking.Wait()
-	if voters == nil && answered == asked {
-		voters = n.settings.Seeds
-	}
-	return voters, known
-}
-
-func (n *Node) recoverVote(ctx context.Context, voters []string, known ballot.Ballot) {
-	r := ballot.NewRecovery(voters, n.self, n.name+"/0", known)
-	type answer struct {
-		from  string
-		asked ballot.Ballot
-		p     ballot.Promise
-	}
-	for ; ctx.Err() == nil; pause(ctx, askEach) {
-		answers := make(chan answer, len(voters))
-		var asked sync.WaitGroup
-		for _, to := range voters {
-			if b := r.Ballot(); to != n.self {
-				asked.Go(func() {
-					if f := n.call(to, 2*diskPatience, &trunk.Frame{Prepare: &trunk.Prepare{Ballot: b}}); f != nil && f.Promise != nil {
-						answers <- answer{to, b, f.Promise.Promise}
-					}
-				})
-			}
-		}
-		asked.Wait()
-		close(answers)
-		for a := range answers {
-			r.Heard(a.from, a.asked, a.p)
-		}
-		state, from, ok := r.Done()
-		if !ok {
-			continue
-		}
-		if from != "" {
-			n.fetch(from, state.Epoch)
-		}
-		if n.voter.enter(voters, &state) {
-			epoch, _ := n.voter.whole()
-			n.log.Log("msg", "vote recovered", "epoch", epoch, "from", from)
-			return
-		}
-	}
-}
-
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
@@ -541,7 +451,7 @@
 // span of contact began, and servers have had the time to call.
 func (n *Node) ready() bool {
 	term, ok := n.contact.holds()
-	return ok && n.confirmed.Load() == term && (!n.behind.Load() || mutated("ready-behind")) && n.store.Epoch() > 0 && (n.warm.Load() || n.up() > 1.2*n.settings.Beat)
+	return ok && n.confirmed.Load() == term && (!n.behind.Load() || mutated("ready-behind")) && n.store.Book().Len() > 0 && (n.warm.Load() || n.up() > 1.2*n.settings.Beat)
 }
 
 // serveInner takes agents and control nodes.
@@ -655,7 +565,7 @@
 	return all
 }
 
-// settleLine has a line that leaves put on enough disks: those of two control nodes, or of the only one.
+// settleLine has a line that leaves put on enough disks: those of one control node more than may be lost, or of all there are.
 func (n *Node) settleLine(ctx context.Context, l lines.Line) bool {
 	voters, _ := n.voter.electorate()
 	others := 0
@@ -677,9 +587,9 @@
 			results <- true
 		}
 	}
-	need := min(2, len(voters))
-	if voters == nil {
-		need = 2
+	need := n.settings.Tolerance.Machines + 1 // as many disks as may be lost, and one more
+	if need = max(2, need); voters != nil {
+		need = min(need, len(voters))
 	}
 	for got := 0; others > 0; others-- {
 		select {
--- a/internal/tandem/propose.go
+++ b/internal/tandem/propose.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -32,6 +31,7 @@
 // change is a call of the operator on its way.
 type change struct {
 	items []directory.Item
+	move  *move // of the electorate, instead of items
 	limit time.Time
 	done  chan error // nil, *directory.Refusal or errNoMajority
 	gone  atomic.Bool
@@ -60,10 +60,8 @@
 	finish  bool // something is to be finished, or the whole here to be confirmed
 
 	rnd      *rand.Rand
-	lives    int      // proposers there were: each draws ballots of its own
-	voters   []string // those of the proposer; its goroutine's
-	proposer *ballot.Proposer
-	within   []*change // in the proposal below
+	proposer *ballot.Proposer // its goroutine's
+	within   []*change        // in the proposal below
 	proposed ballot.Ballot
 	upon     uint64
 }
@@ -75,7 +73,16 @@
 // change has items chosen. It returns nil once they are, a *directory.Refusal, or errNoMajority. Once whoever asks is gone (ctx), they are
 // proposed no more: the operator has sent them elsewhere, and may have got an answer there that no late copy should belie.
 func (d *desk) change(ctx context.Context, items []directory.Item, most time.Duration) error {
-	c := &change{items: items, limit: time.Now().Add(most), done: make(chan error, 1)}
+	return d.choose(ctx, &change{items: items}, most)
+}
+
+// move has the electorate changed. It returns nil once it is, and is on the disks of more than half of the new one.
+func (d *desk) move(m move, most time.Duration) error {
+	return d.choose(context.Background(), &change{move: &m}, most)
+}
+
+func (d *desk) choose(ctx context.Context, c *change, most time.Duration) error {
+	c.limit, c.done = time.Now().Add(most), make(chan error, 1)
 	d.put(func() { d.changes = append(d.changes, c) })
 	t := time.NewTimer(most)
 	defer t.Stop()
@@ -174,16 +181,13 @@
 	}
 }
 
-// ready has a proposer for the voters as they are known now.
+// ready has a proposer once the voters are known.
 func (d *desk) ready() bool {
-	voters, _ := d.n.voter.electorate()
-	if voters == nil {
+	if b, _ := d.n.voter.base(); !b.Electorate.Known() {
 		return false
 	}
-	if d.proposer == nil || !slices.Equal(voters, d.voters) {
-		d.voters = voters
-		d.lives++
-		d.proposer = ballot.NewProposer(fmt.Sprintf("%s/%d", d.n.name, d.lives), voters, d.n.life)
+	if d.proposer == nil {
+		d.proposer = ballot.NewProposer(d.n.name+"/1", d.n.life)
 	}
 	return true
 }
@@ -205,9 +209,9 @@
 	defer timer.Stop()
 	d.within = nil
 	d.yield(ctx, timer)
-	epoch, _ := d.n.voter.whole()
+	base, _ := d.n.voter.base()
 	var todo ballot.Action
-	for a := d.proposer.Start(epoch, reading); ; {
+	for a := d.proposer.Start(base, reading); ; {
 		var most time.Duration
 		switch todo = a; a.Do {
 		case ballot.Rest:
@@ -250,7 +254,8 @@
 					until = latest(calls)
 				}
 			}
-			a = d.proposer.Woken(todo.Try)
+			base, _ := d.n.voter.base()
+			a = d.proposer.Woken(todo.Try, base)
 		}
 	}
 }
@@ -284,8 +289,12 @@
 
 // form says what to propose, and answers the calls about which all is said. It returns those that are left.
 func (d *desk) form(a ballot.Action, calls []*change) (ballot.Action, []*change) {
-	epoch, book := d.n.voter.whole()
+	base, book := d.n.voter.base()
+	epoch := base.Epoch
 	calls = slices.DeleteFunc(calls, (*change).left)
+	if k := slices.IndexFunc(calls, func(c *change) bool { return c.move != nil }); k >= 0 {
+		return d.formMove(a, calls, calls[k], base)
+	}
 	all := make([][]directory.Item, len(calls))
 	for n, c := range calls {
 		all[n] = slices.Clone(c.items)
@@ -317,15 +326,30 @@
 			}
 		}
 	}
-	next := d.proposer.Formed(a.Try, epoch, items)
+	next := d.proposer.Formed(a.Try, base, items, nil)
 	d.proposed, d.upon = next.Proposal.Ballot, epoch
 	return next, left
 }
 
+// formMove proposes a change of the electorate by itself; what waits beside it comes after.
+func (d *desk) formMove(a ballot.Action, calls []*change, c *change, base ballot.Base) (ballot.Action, []*change) {
+	if !a.Sure {
+		return d.proposer.Unsure(a.Try), calls
+	}
+	voters, err := c.move.judge(base)
+	if voters == nil {
+		c.answer(err)
+		c.gone.Store(true)
+		return d.form(a, calls)
+	}
+	d.within = nil
+	return d.proposer.Formed(a.Try, base, nil, voters), calls
+}
+
 // apply takes in what was chosen, answers whom it is about, and tells the others.
 func (d *desk) apply(a ballot.Action) ballot.Action {
 	p := a.Proposal
-	epoch := d.n.voter.choose(p)
+	base := d.n.voter.choose(p)
 	d.n.each(func(x *peer) {
 		go x.client.Call(roundMost, &trunk.Frame{Chosen: &trunk.Chosen{Proposal: ballot.Proposal{Ballot: p.Ballot, Epoch: p.Epoch}}})
 	})
@@ -336,8 +360,8 @@
 		}
 	}
 	d.within = nil
-	d.n.log.Log("msg", "change chosen", "epoch", p.Epoch, "items", len(p.Items))
-	return d.proposer.Applied(a.Try, epoch)
+	d.n.log.Log("msg", "change chosen", "epoch", p.Epoch, "items", len(p.Items), "voters", len(p.Voters))
+	return d.proposer.Applied(a.Try, base)
 }
 
 // ask puts an action to the voters. It returns how long to wait for them.
@@ -391,8 +415,9 @@
 func (d *desk) fetch(a ballot.Action) time.Duration {
 	of := d.proposer
 	go func() {
-		epoch := d.n.fetch(a.From, a.Epoch)
-		d.post(of, func(x *ballot.Proposer) ballot.Action { return x.Fetched(a.Try, epoch) })
+		d.n.fetch(a.From, a.Epoch)
+		base, _ := d.n.voter.base()
+		d.post(of, func(x *ballot.Proposer) ballot.Action { return x.Fetched(a.Try, base) })
 	}()
 	return 2 * roundMost
 }
--- a/internal/tandem/vault/vault.go
+++ b/internal/tandem/vault/vault.go
@@ -21,12 +21,12 @@
 )
 
 // version of what is on disk. A folder of a later one is not opened.
-const version = 2
+const version = 3
 
 // Keys: one letter, then the name of what there are many of.
 var (
 	keyVersion  = []byte("v")
-	keyVoters   = []byte("m")
+	keyVoters   = []byte("m") // up to version 2: addresses of the voters of the first start
 	keyAcceptor = []byte("a")
 	keyPending  = []byte("p")
 	keyMembers  = []byte("n")
@@ -62,8 +62,7 @@
 
 // State is what was found on disk.
 type State struct {
-	Blank    bool     // no vote was ever kept here: nobody may count on this node until it has one again
-	Voters   []string // addresses of the control nodes that choose
+	Blank    bool // no electorate was ever known here: nobody may count on this node until it is in one again
 	Acceptor ballot.Acceptor
 	Items    []directory.Item // in order of their keys
 	Lines    []lines.Line
@@ -82,7 +81,6 @@
 
 // Batch is what is saved at once: whole or not at all. What is nil stays as it was.
 type Batch struct {
-	Voters   []string
 	Acceptor *ballot.Acceptor
 	Items    []directory.Item // each in the place of another of its key
 	Lines    []lines.Line
@@ -107,7 +105,8 @@
 	wake   chan struct{}
 	done   chan struct{}
 
-	pending *ballot.Proposal // as it is on disk; the writing goroutine's
+	pending   *ballot.Proposal // as it is on disk; the writing goroutine's
+	versioned bool             // so is the version; its too
 }
 
 // Ticket is a commit that is yet to come.
@@ -222,7 +221,6 @@
 		return s, err
 	}
 	defer func() { err = errors.CombineErrors(err, it.Close()) }()
-	s.Blank = true
 	for it.First(); it.Valid(); it.Next() {
 		k, b := it.Key(), it.Value()
 		var err error
@@ -233,8 +231,10 @@
 				err = errors.Newf("the folder is of version %d, later than %d", n, version)
 			}
 		case keyVoters[0]:
-			s.Blank = false
-			err = reading.Unmarshal(b, &s.Voters)
+			var first []string
+			if err = reading.Unmarshal(b, &first); err == nil && !s.Acceptor.Electorate.Known() { // the acceptor's key comes before
+				s.Acceptor.Electorate = ballot.First(first)
+			}
 		case keyAcceptor[0]:
 			err = reading.Unmarshal(b, &s.Acceptor)
 		case keyPending[0]:
@@ -264,6 +264,7 @@
 			return s, errors.Wrapf(err, "key %q", k)
 		}
 	}
+	s.Blank = !s.Acceptor.Electorate.Known()
 	return s, it.Error()
 }
 
@@ -350,11 +351,11 @@
 func (v *Vault) add(to *pebble.Batch, set func([]byte, any) error, b Batch) error {
 	var errs error
 	note := func(err error) { errs = errors.CombineErrors(errs, err) }
-	if b.Voters != nil {
-		note(set(keyVersion, version))
-		note(set(keyVoters, b.Voters))
-	}
 	if a := b.Acceptor; a != nil {
+		if !v.versioned {
+			note(set(keyVersion, version))
+			v.versioned = true
+		}
 		note(set(keyAcceptor, a))
 		// A first configuration may be megabytes: it is not written again with each promise.
 		switch {
--- a/internal/tandem/voter.go
+++ b/internal/tandem/voter.go
@@ -28,12 +28,12 @@
 	log   log.Logger
 	store *feed.Store
 	own   func(ballot.Ballot) bool // a ballot is of this process
+	draw  func() uint64            // a name for a new disk
+	turned func()                  // the electorate is another one
 
 	mu        sync.Mutex
 	vault     *vault.Vault // nil: the disk has not been read yet
 	a         ballot.Acceptor
-	votes     bool
-	voters    []string      // nil: not known
 	ticket    *vault.Ticket // of the last change of a; nil: as it was found
 	pendingAt time.Time     // since when a.Pending waits
 	guest     chan struct{} // closed once the change of another node that is under way here is chosen; nil: none is
@@ -41,21 +41,26 @@
 	staging   staging
 }
 
-// load takes what was on disk. Voters: those to start with, where nothing was and the whole system starts; nil: a lost disk, whose
-// vote is to be recovered.
+// load takes what was on disk. Bootstrap: the voters to start with, where nothing was and the whole system starts; nil: a new disk, which
+// is to be taken into the electorate.
 func (v *voter) load(vt *vault.Vault, s vault.State, bootstrap []string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.vault, v.a, v.voters = vt, s.Acceptor, s.Voters
+	v.vault, v.a = vt, s.Acceptor
+	v.a.At = v.self
 	v.staging.load(s)
 	v.store.MergeItems(s.Items)
 	v.store.SetEpoch(v.a.Epoch)
 	v.pendingAt = time.Now()
-	if s.Blank && bootstrap != nil {
-		v.voters = bootstrap
-		v.ticket = vt.Put(vault.Batch{Voters: bootstrap, Acceptor: &v.a})
+	switch {
+	case !s.Blank || v.a.Disk != 0:
+	case bootstrap != nil:
+		v.a.Electorate = ballot.First(bootstrap)
+		v.keep()
+	default:
+		v.a.Disk = v.draw()
+		v.keep()
 	}
-	v.votes = slices.Contains(v.voters, v.self)
 }
 
 // keep puts the acceptor on its way to the disk.
@@ -94,23 +99,20 @@
 	return v.guest
 }
 
-// prepare answers a ballot; nil: there is no answer. A voter that has no vote yet abstains (see ballot.Promise.Abstains).
+// prepare answers a ballot; nil: there is no answer. A node that is no voter answers too: who asks knows whose answers count.
 func (v *voter) prepare(q *trunk.Prepare) *ballot.Promise {
 	v.mu.Lock()
 	if q.Read {
 		defer v.mu.Unlock()
-		if !v.votes {
+		if !v.a.Electorate.Known() {
 			return nil
 		}
 		p := v.a.Read()
 		return &p
 	}
-	if !v.able() || !v.votes {
-		defer v.mu.Unlock()
-		if v.vault == nil || v.votes {
-			return nil
-		}
-		return &ballot.Promise{}
+	if !v.able() || !v.a.Electorate.Known() {
+		v.mu.Unlock()
+		return nil
 	}
 	p, changed := v.a.Prepare(q.Ballot)
 	if changed {
@@ -132,13 +134,13 @@
 	}
 	for try := 0; ; try++ {
 		v.mu.Lock()
-		if !v.able() || !v.votes {
+		if !v.able() || !v.a.Electorate.Known() {
 			v.mu.Unlock()
 			return nil
 		}
 		// Who goes on under the same ballot had the change before it chosen; word of that may come after.
 		if f := v.a.Pending; f != nil && f.Ballot == p.Ballot && f.Epoch+1 == p.Epoch {
-			v.apply(f.Epoch, f.Items)
+			v.apply(v.a.Base().With(*f), f.Items)
 		}
 		r, changed := v.a.Accept(p)
 		if mutated("accepts-behind") && r.Behind {
@@ -162,13 +164,13 @@
 }
 
 // choose takes in a change that is chosen, and returns how far the whole here is. It has no effect unless the whole before it is here.
-func (v *voter) choose(p ballot.Proposal) uint64 {
+func (v *voter) choose(p ballot.Proposal) ballot.Base {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if p.Epoch == v.a.Epoch+1 {
-		v.apply(p.Epoch, p.Items)
+		v.apply(v.a.Base().With(p), p.Items)
 	}
-	return v.a.Epoch
+	return v.a.Base()
 }
 
 // learn takes word that what was accepted under a ballot is chosen. It tells whether the whole is here now.
@@ -176,30 +178,36 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if f := v.a.Pending; f != nil && (f.Ballot == b || mutated("learns-any")) && f.Epoch == epoch {
-		v.apply(epoch, f.Items)
+		v.apply(v.a.Base().With(*f), f.Items)
 	}
 	return v.a.Epoch >= epoch
 }
 
-// apply makes a change, or several at once, the newest of the whole. What was staged has no use then: only what is behind it was.
-func (v *voter) apply(epoch uint64, items []directory.Item) {
+// apply makes a change, or several at once, the newest of the whole. What was staged has no use then: only what is behind it was. A change of
+// the electorate goes to the disk at once: a majority of the old one has it, and of the new one maybe nobody else yet.
+func (v *voter) apply(base ballot.Base, items []directory.Item) {
 	if v.guest != nil {
 		close(v.guest)
 		v.guest = nil
 	}
-	behind := epoch - v.a.Epoch
-	changed := v.store.MergeItems(items)
-	v.a.Learn(epoch)
+	epoch, behind := base.Epoch, base.Epoch-v.a.Epoch
+	changed := !base.Electorate.Equal(v.a.Electorate)
+	news := v.store.MergeItems(items)
+	v.a.Learn(base)
 	v.store.SetEpoch(epoch)
 	// The accepted proposal is on more than half of the disks.
-	v.vault.Put(vault.Batch{Acceptor: &v.a, Items: changed, Unstage: v.staging.over(epoch), Lazy: true})
+	t := v.vault.Put(vault.Batch{Acceptor: &v.a, Items: news, Unstage: v.staging.over(epoch), Lazy: !changed})
+	if changed {
+		v.ticket = t
+		v.turned()
+	}
 	if behind > 1 {
 		v.recent = nil
 	}
 	if len(v.recent) == mostRecent {
 		v.recent = slices.Clone(v.recent[mostRecent/2:]) // readers have the old one
 	}
-	v.recent = append(v.recent, chosen{epoch, keysOf(changed)})
+	v.recent = append(v.recent, chosen{epoch, keysOf(news)})
 }
 
 // proper tells whether items that another process told of can be such at all.
@@ -230,36 +238,46 @@
 func (v *voter) unfinished(now time.Time) time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.a.Pending == nil || !v.votes {
+	if v.a.Pending == nil || !v.a.Votes() {
 		return 0
 	}
 	return now.Sub(v.pendingAt)
 }
 
-// enter gives the node its vote, with what its recovery found, and the voters; without a state it only notes the voters. False: the whole here
-// is behind that state.
-func (v *voter) enter(voters []string, state *ballot.Acceptor) bool {
+// base is the whole here and who chooses upon it.
+func (v *voter) base() (ballot.Base, *directory.Book) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	b := vault.Batch{Voters: voters, Acceptor: &v.a}
-	if state != nil {
-		if v.a.Epoch < state.Epoch {
-			return false
-		}
-		epoch := v.a.Epoch
-		v.a = *state
-		v.a.Learn(epoch)
-		v.votes = true
-	}
-	v.voters = voters
-	v.pendingAt = time.Now()
-	v.ticket = v.vault.Put(b)
-	return true
+	return v.a.Base(), v.store.Book()
+}
+
+// selfAs is this node as a voter, with its disk.
+func (v *voter) selfAs() ballot.Voter {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.a.Self()
 }
 
 // electorate is who chooses, and whether this node has a vote; nil: not known.
 func (v *voter) electorate() ([]string, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.voters, v.votes
+	if !v.a.Electorate.Known() {
+		return nil, false
+	}
+	return v.a.Electorate.Addresses(), v.a.Votes()
+}
+
+// counted is the voters as this node counts them when it looks whom it hears: where it is listed with a disk that it lost, it is nobody.
+func (v *voter) counted() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.a.Electorate.Known() {
+		return nil
+	}
+	all := v.a.Electorate.Addresses()
+	if k := slices.Index(all, v.self); k >= 0 && !v.a.Votes() {
+		all[k] = ""
+	}
+	return all
 }
--- a/internal/testboard/slopes/office.go
+++ b/internal/testboard/slopes/office.go
@@ -347,11 +347,12 @@
 	m.cpu(Series{Name: "ballot.change", What: "one change through a proposer and its voters in one process", Of: "voters"}, 500, func(n int) func(int) {
 		voters := many(n, func(i int) string { return fmt.Sprint("v", i) })
 		acceptors := map[string]*ballot.Acceptor{}
+		base, items := ballot.Base{Electorate: ballot.First(voters)}, tenants(1)
 		for _, v := range voters {
-			acceptors[v] = new(ballot.Acceptor)
+			acceptors[v] = &ballot.Acceptor{At: v, Electorate: base.Electorate}
 		}
-		p, epoch, items := ballot.NewProposer(voters[0], voters, 1), uint64(0), tenants(1)
-		return func(int) { epoch = chosen(p, voters, acceptors, epoch, items) }
+		p := ballot.NewProposer(voters[0], 1)
+		return func(int) { base = chosen(p, voters, acceptors, base, items) }
 	}, 3, 5, 7, 9, 13)
 	m.cpu(Series{Name: "vault.save", What: "a batch in a Vault on a disk in memory, one sync", Of: "items"}, 100, func(n int) func(int) {
 		v, _, err := vault.Open(vfs.NewMem(), "data", log.NewNopLogger())
@@ -368,9 +369,9 @@
 	}, 1, 4, 16, 64, 256)
 }
 
-// chosen has one change chosen upon an epoch, and returns that of the whole then.
-func chosen(p *ballot.Proposer, voters []string, acceptors map[string]*ballot.Acceptor, epoch uint64, items []directory.Item) uint64 {
-	for a := p.Start(epoch, false); ; {
+// chosen has one change chosen upon a base, and returns that of the whole then.
+func chosen(p *ballot.Proposer, voters []string, acceptors map[string]*ballot.Acceptor, base ballot.Base, items []directory.Item) ballot.Base {
+	for a := p.Start(base, false); ; {
 		next := ballot.Action{}
 		switch a.Do {
 		case ballot.Prepare, ballot.Accept:
@@ -388,16 +389,16 @@
 				}
 			}
 		case ballot.Form:
-			next = p.Formed(a.Try, epoch, items)
+			next = p.Formed(a.Try, base, items, nil)
 			items = nil // once is enough
 		case ballot.Apply:
-			epoch = a.Proposal.Epoch
+			base = base.With(a.Proposal)
 			for _, v := range voters {
-				acceptors[v].Learn(epoch)
+				acceptors[v].Learn(base)
 			}
-			next = p.Applied(a.Try, epoch)
+			next = p.Applied(a.Try, base)
 		default:
-			return epoch
+			return base
 		}
 		a = next
 	}
