--- a/internal/testboard/slopes/meter.go
+++ b/internal/testboard/slopes/meter.go
@@ -26,6 +26,9 @@
 // repeats is how often an operation is measured at each size; the least counts, for what disturbs only ever adds.
 const repeats = 9
 
+// leastOps is how many operations are measured at once at least, where so many are prepared: the clock shows microseconds, and one may take less.
+const leastOps = 32
+
 // Measure takes all series, and tells of each as it is known. With a part above 1 sizes are so many times
 // smaller: to see that it works. Errors name a series that could not be measured.
 func Measure(part int, tell func(*Series)) (*Run, error) {
@@ -160,7 +163,7 @@
 	s.Unit = "s"
 	var tasks []*task
 	for _, n := range m.sizes(sizes...) {
-		tasks = append(tasks, &task{do: prepare(n), ops: max(1, ops/m.part), best: Point{N: float64(n)}})
+		tasks = append(tasks, &task{do: prepare(n), ops: min(ops, max(leastOps, ops/m.part)), best: Point{N: float64(n)}})
 	}
 	m.add(s, rounds(tasks))
 }
