--- a/internal/tandem/contact_test.go
+++ b/internal/tandem/contact_test.go
@@ -252,7 +252,8 @@
 			for _, a := range g.seeds {
 				x := &feed.Client{Node: fmt.Sprint("edge-", i), Class: feed.Agent, Zone: "z", Life: uint64(100 + i), Seed: 1, Store: feed.NewStore(uint64(100 + i)),
 					Clock: feed.NewClock(func() float64 { return time.Since(g.began).Seconds() }), Ready: func() bool { return true }}
-				x.Dial = func(context.Context) (net.Conn, error) { return g.dial("", g.nodes[a].settings.InnerOf(a)) }
+				inner := g.nodes[a].settings.InnerOf(a)
+				x.Dial = func(context.Context) (net.Conn, error) { return g.dial("", inner) }
 				x.OnFeed = func(f *trunk.Feed) { g.fed(a, f) }
 				all = append(all, x)
 				running.Go(func() { x.Run(ctx) })
