--- a/internal/linefinder/finder_test.go
+++ b/internal/linefinder/finder_test.go
@@ -204,3 +204,84 @@
 		is.Equal(o.enough, x.enough)
 	}
 }
+
+// A newcomer whose seeds are a node that is cut off and one that is down finds the voters by the word of the one, goes by them alone, and
+// keeps them; who is no voter any more is left.
+func TestNewcomerFindsTheVoters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := &core{nodes: map[string]*node{}, voters: []string{"10.0.0.1:80", "10.0.0.3:80", "10.0.0.4:80"}}
+		f := New(7, log.NewNopLogger())
+		f.dial = c.dial
+		ctx, cancel := context.WithCancel(t.Context())
+		pass := func(d time.Duration) { time.Sleep(d); synctest.Wait() }
+		cut := c.start(9, false) // it counts the most
+		c.mu.Lock()
+		c.nodes["10.0.0.1:7560"], c.nodes["10.0.0.9:7560"] = cut, nil
+		c.mu.Unlock()
+		three, four := c.start(3, true), c.start(4, true)
+		three.Store.SetEpoch(10)
+		four.Store.SetEpoch(10)
+		f.Follow(ctx, &premises.Premises{Node: "edge-1", InnerFirst: 7560, Seeds: []string{"10.0.0.1:80", "10.0.0.2:80"}})
+		pass(3 * time.Second)
+		o := f.outlook()
+		is.True(o.quorum && o.enough && f.ready.Load())
+		is.Equal(o.members, 14) // not the 19 of the one that is cut off
+		is.Equal(o.living, []string{"10.0.0.3:7560", "10.0.0.4:7560"})
+
+		// The voters change: three goes, five comes.
+		c.mu.Lock()
+		c.voters = []string{"10.0.0.1:80", "10.0.0.4:80", "10.0.0.5:80"}
+		c.mu.Unlock()
+		four.Store.SetEpoch(11)
+		five := c.start(5, true)
+		five.Store.SetEpoch(11)
+		pass(3 * time.Second)
+		o = f.outlook()
+		is.Equal(o.living, []string{"10.0.0.4:7560", "10.0.0.5:7560"})
+		is.True(o.quorum)
+		// Those told are kept when the settings are read anew, and nothing in contact is no quorum.
+		f.Follow(ctx, &premises.Premises{Node: "edge-1", InnerFirst: 7560, Seeds: []string{"10.0.0.1:80"}})
+		four.held.Store(false)
+		five.held.Store(false)
+		pass(time.Second)
+		o = f.outlook()
+		is.True(!o.quorum && !o.enough && o.members == 0 && o.peers == 0 && len(o.living) == 0)
+		four.held.Store(true)
+		five.held.Store(true)
+		pass(time.Second)
+		is.Equal(f.outlook().living, []string{"10.0.0.4:7560", "10.0.0.5:7560"})
+		cancel()
+		f.all.Wait()
+	})
+}
+
+// Who is behind another feeds nobody anew, and a majority is one of the voters told by who is in contact.
+func TestLookGoesByContact(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	said := func(told, quorum bool, epoch uint64, members int, voters ...string) word {
+		return word{addr: "a", told: told, up: true, whole: true, State: feed.State{Life: 1, Ready: true, Quorum: quorum, Epoch: epoch, Members: members, Rank: members, Peers: 20,
+			Voters: voters, Heard: now}}
+	}
+	five := []string{"a", "b", "c", "d", "e"}
+	for i, x := range []struct {
+		words          []word
+		quorum, enough bool
+		members        int
+	}{
+		{[]word{said(false, true, 7, 3), said(false, true, 7, 4), said(false, false, 7, 9)}, true, true, 4},
+		{[]word{said(false, true, 7, 3), said(false, true, 8, 4), said(false, false, 7, 9)}, true, false, 4},
+		{[]word{said(false, true, 7, 3), said(false, false, 8, 4), said(false, true, 7, 9)}, true, false, 9},
+		{[]word{said(false, true, 7, 3, five...), said(false, true, 7, 4, five...)}, false, false, 4},
+		{[]word{said(false, true, 7, 3, five...), said(false, true, 7, 4, five...), said(true, true, 7, 5, five...)}, true, true, 5},
+		{[]word{said(false, false, 7, 3, five...), said(false, true, 7, 4, "a")}, true, true, 4},
+		{[]word{said(false, false, 9, 3, "a"), said(false, false, 7, 4, "a")}, false, false, 0},
+	} {
+		o := look(x.words, now, time.Second)
+		if o.quorum != x.quorum || o.enough != x.enough || o.members != x.members {
+			t.Errorf("%d: %+v", i, o)
+		}
+		is.Equal(o.rank, x.members)
+	}
+}
