Who begins a run waits longer for another's than who has lost rounds

Cause: TestNobodyStarves failed once (803 ms at one node, limit 750; the answer's own limit is 850). With disks that sync every 20 ms a round takes 40, and every node waited 20 to 60 ms for another's run, the winner of the last as long as who had lost ten rounds in a row: trace of the desk, a promise each time, refused at Accept each time. Ruled out: lost answers (two traces of nine had time-outs, at the start of the run alone). Lines: desk.yield. It now waits twice as long where the run has lost no round, and less with each one lost.

The test's limits stand as they were.

--- a/internal/tandem/propose.go
+++ b/internal/tandem/propose.go
@@ -20,6 +20,7 @@
 	perMegabyte = 400 * time.Millisecond // more, for each megabyte that goes with it
 	perItem     = time.Millisecond       // that an operator waits longer, for each item of a long call
 	politeFor   = 40 * time.Millisecond  // that a round waits for another node's to end
+	politeFirst = 2                      // times as long, where it has lost none yet: who has lost some goes first
 	runMost     = time.Second            // for a run that no operator waits for
 	mostBatch   = 128                    // calls that are proposed together
 	batchBytes  = 1 << 20                // of items in one proposal, about; the first call may be longer
@@ -208,7 +209,8 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	d.within = nil
-	d.yield(ctx, timer)
+	lost := 0 // rounds
+	d.yield(ctx, timer, lost)
 	base, _ := d.n.voter.base()
 	var todo ballot.Action
 	for a := d.proposer.Start(base, reading); ; {
@@ -246,7 +248,8 @@
 				a = d.proposer.Timeout(todo.Try)
 				continue
 			}
-			d.yield(ctx, timer)
+			lost++
+			d.yield(ctx, timer, lost)
 			if !reading {
 				// A new round begins, so whatever came meanwhile is judged upon a whole that is newer than it.
 				calls = append(calls, d.take(mostBatch-len(calls))...)
@@ -260,8 +263,9 @@
 	}
 }
 
-// yield waits a little while another node is on its way: two that outbid one another all the time both come to nothing.
-func (d *desk) yield(ctx context.Context, timer *time.Timer) {
+// yield waits a little while another node is on its way: two that outbid one another all the time both come to nothing. Who has lost
+// rounds waits less than who begins.
+func (d *desk) yield(ctx context.Context, timer *time.Timer, lost int) {
 	defer func() {
 		promised, _ := d.n.voter.state()
 		d.proposer.Saw(promised)
@@ -270,7 +274,13 @@
 	if guest == nil {
 		return
 	}
-	timer.Reset(politeFor/2 + time.Duration(d.rnd.Int64N(int64(politeFor))))
+	most := politeFor/2 + time.Duration(d.rnd.Int64N(int64(politeFor)))
+	if lost == 0 {
+		most *= politeFirst
+	} else {
+		most /= time.Duration(min(lost, 4))
+	}
+	timer.Reset(most)
 	select {
 	case <-guest:
 	case <-timer.C:
