--- a/internal/tandem/catchup_test.go
+++ b/internal/tandem/catchup_test.go
@@ -598,6 +598,55 @@
 	}
 }
 
+// A node with an empty disk gets some megabytes over a slow link while changes go on at the others: none of these is refused or takes over a second,
+// and its vote is back with the whole.
+func TestRecoverSlowly(t *testing.T) {
+	late, took := 0, time.Duration(0)
+	synctest.Test(t, func(t *testing.T) {
+		c := newCore(t, 3)
+		c.links = &meter{}
+		for _, a := range c.seeds {
+			c.cut(a, true)
+		}
+		for _, a := range c.seeds {
+			c.cut(a, false)
+		}
+		pass(3 * time.Second)
+		h := &history{rnd: rand.New(rand.NewPCG(6, 1)), names: 6000, size: 1024, each: 2000}
+		h.grow(8)
+		for _, a := range c.seeds {
+			h.bring(c.nodes[a].voter, uint64(len(h.changes)))
+		}
+		c.kill(c.seeds[2])
+		pass(2 * time.Second)
+		c.Equal(c.patch(c.seeds[0], upsert([]string{service("s", 1)}, nil)), 200)
+		c.links.set(2e6 / 8)
+		began := time.Now()
+		m := c.start(c.seeds[2], vfs.NewCrashableMem(), false)
+		for n := 2; ; n++ {
+			if _, votes := m.voter.electorate(); votes {
+				took = time.Since(began)
+				break
+			}
+			c.True(time.Since(began) < 2*time.Minute)
+			asked := time.Now()
+			if c.patch(c.seeds[n%2], upsert([]string{service("s", n)}, nil)) != 200 || time.Since(asked) > time.Second {
+				late++
+			}
+			pass(300 * time.Millisecond)
+		}
+		pass(3 * time.Second)
+		c.Equal(m.store.Epoch(), c.nodes[c.seeds[0]].store.Epoch())
+		c.Equal(m.store.Book().Len(), c.nodes[c.seeds[0]].store.Book().Len())
+		c.end()
+		pass(time.Second)
+	})
+	t.Logf("vote after %v; %d changes late", took, late)
+	if late > 0 {
+		t.Error("a recovery gets into the way of changes")
+	}
+}
+
 // The figures of worst-days.md: a node that missed 1,000 changes, and one whose disk is empty after a day of 600, over links of 2 Mbit/s each
 // way. Times are the bubble's, bytes all that went over the links meanwhile, heartbeats with them.
 func TestCatchUpFigures(t *testing.T) {
