Let several goroutines sync a folder at a time

The race detector, in one of four runs of TestCatchUpFigures: pebble syncs its one handle of the folder from the flush and from elsewhere at once, and steady.go kept, for a folder as for a file, what was written since the last sync (file.sync). It is a type of its own now.

--- a/internal/tandem/vault/steady.go
+++ b/internal/tandem/vault/steady.go
@@ -138,14 +138,39 @@
 }
 
 func (s *steady) OpenDir(name string) (vfs.File, error) {
-	f, err := s.file(func() (vfs.File, error) { return s.FS.OpenDir(name) })
+	d := &folderFile{fs: s, name: s.FS.PathJoin(name)}
+	err := s.until(func() (err error) {
+		d.File, err = s.FS.OpenDir(name)
+		return err
+	})
 	if err != nil {
 		return nil, err
 	}
-	f.folder = s.FS.PathJoin(name)
-	return f, nil
+	return d, nil
 }
 
+// folderFile is an open folder, which several goroutines may sync at a time.
+type folderFile struct {
+	vfs.File
+	fs   *steady
+	name string
+}
+
+func (d *folderFile) Sync() error {
+	before := d.fs.count(d.name) // a name that is made meanwhile may be missed
+	if err := d.fs.until(d.File.Sync); err != nil {
+		return err
+	}
+	d.fs.mu.Lock()
+	defer d.fs.mu.Unlock()
+	if x := d.fs.folders[d.name]; x != nil {
+		x.synced = max(x.synced, before.made)
+	}
+	return nil
+}
+
+func (d *folderFile) SyncData() error { return d.Sync() }
+
 func (s *steady) Remove(name string) error {
 	if err := s.settle(s.FS.PathDir(name)); err != nil {
 		return err
@@ -173,7 +198,6 @@
 	vfs.File
 	fs     *steady
 	in     string // its folder, where it is new
-	folder string // it is one itself
 	synced int64
 	since  []byte // written behind synced
 }
@@ -193,7 +217,6 @@
 func (f *file) SyncData() error { return f.sync(f.File.SyncData) }
 
 func (f *file) sync(sync func() error) error {
-	before := f.fs.count(f.folder) // a name that is made meanwhile may be missed
 	again := false
 	err := f.fs.until(func() error {
 		if again && len(f.since) > 0 {
@@ -207,11 +230,6 @@
 	if err != nil {
 		return err
 	}
-	f.fs.mu.Lock()
-	if x := f.fs.folders[f.folder]; x != nil {
-		x.synced = max(x.synced, before.made)
-	}
-	f.fs.mu.Unlock()
 	if f.in != "" {
 		if err := f.fs.settle(f.in); err != nil {
 			return err
