--- a/cmd/tandem/main.go
+++ b/cmd/tandem/main.go
@@ -24,6 +24,9 @@
 	Serve serve `cmd:"" default:"withargs" help:"Serve as a control node (the default)."`
 	Check check `cmd:"" help:"Check a settings file, and say what is in it that matters here."`
 
+	Members members `cmd:"" help:"Say which control nodes choose (voters), which could (learners), and how far behind they are."`
+	Replace replace `cmd:"" help:"Have a learner take the place of a voter."`
+
 	Version kong.VersionFlag `help:"Say which version this is."`
 }
 
--- a/internal/tandem/calls.go
+++ b/internal/tandem/calls.go
@@ -49,6 +49,8 @@
 	{"PATCH /config", patchBytes, true, true, (*Node).patch},
 	{"GET /config", 0, true, true, (*Node).readBack},
 	{"GET /view", 0, true, false, (*Node).view},
+	{"GET /members", 0, true, false, (*Node).listMembers},
+	{"POST /members/replace", replaceBytes, true, true, (*Node).replaceMember},
 }
 
 // answer is what a call gets: a status and a body of JSON.
--- a/internal/tandem/electorate.go
+++ b/internal/tandem/electorate.go
@@ -262,14 +262,20 @@
 }
 
 func (n *Node) probeOnce(addr string, base ballot.Base) (ballot.Voter, error) {
-	r := n.call(addr, 2*diskPatience, &trunk.Frame{Prepare: &trunk.Prepare{Read: true, Synced: true}})
+	q := &trunk.Prepare{Read: true, Synced: true}
+	var p *ballot.Promise
+	if addr == n.self {
+		p = n.voter.prepare(q)
+	} else if r := n.call(addr, 2*diskPatience, &trunk.Frame{Prepare: q}); r != nil && r.Promise != nil {
+		p = &r.Promise.Promise
+	}
 	switch {
-	case r == nil || r.Promise == nil:
+	case p == nil:
 		return ballot.Voter{}, errors.Newf("%s does not answer", addr)
-	case r.Promise.Epoch < base.Epoch:
-		return ballot.Voter{}, errors.Wrapf(errBehind, "%s, by %d changes", addr, base.Epoch-r.Promise.Epoch)
+	case p.Epoch < base.Epoch:
+		return ballot.Voter{}, errors.Wrapf(errBehind, "%s, by %d changes", addr, base.Epoch-p.Epoch)
 	}
-	return ballot.Voter{At: addr, Disk: r.Promise.Disk}, nil
+	return ballot.Voter{At: addr, Disk: p.Disk}, nil
 }
 
 // replace has one control node take the place of another in the electorate, in one step. While, where there is one, must hold to the last.
--- a/internal/tandem/electorate_test.go
+++ b/internal/tandem/electorate_test.go
@@ -1,6 +1,7 @@
 package tandem
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -278,3 +279,50 @@
 		})
 	}
 }
+
+// An operator sees the members and replaces one; what would not do is refused with the reason.
+func TestMembersCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCoreOf4(t)
+		x, y, z := c.seeds[0], c.seeds[1], c.seeds[2]
+		look := func(at string) (m Members) {
+			status, text := c.ask(at, "GET", "/members", "")
+			c.Equal(status, 200)
+			c.NoErr(json.Unmarshal([]byte(text), &m))
+			return m
+		}
+		for _, at := range []string{x, fourth} {
+			m := look(at)
+			c.Equal(len(m.Voters), 3)
+			c.Equal(len(m.Learners), 1)
+			c.Equal(m.Learners[0].At, fourth)
+			c.Equal(m.Learners[0].Zone, "z10.0.0.4")
+			c.True(m.Contact && m.Wanted == 3 && m.Voters[1].Up)
+		}
+		replace := func(at, out, in string) (int, string) {
+			return c.ask(at, "POST", "/members/replace", fmt.Sprintf(`{"out":%q,"in":%q}`, out, in))
+		}
+		for _, r := range [][3]string{{fourth, x, "no voter"}, {x, y, "voter already"}, {x, fifth, "does not answer"}} {
+			status, text := replace(z, r[0], r[1])
+			c.Equal(status, 409)
+			c.True(strings.Contains(text, r[2]))
+		}
+		status, _ := replace(z, "", "")
+		c.Equal(status, 400)
+		status, text := replace(fourth, x, fourth) // at any node
+		c.Equal(text, "{}")
+		c.Equal(status, 200)
+		c.settled(2*time.Second, y, z, fourth)
+		c.Equal(look(x).Learners[0].At, x)
+		c.True(look(x).Since > 0)
+
+		// One that lags is refused, and so is all without a majority.
+		c.lose(y)
+		c.lose(z)
+		pass(3 * time.Second)
+		status, _ = replace(fourth, y, x)
+		c.Equal(status, 503)
+		c.True(!look(fourth).Contact)
+		c.end()
+	})
+}
--- /dev/null
+++ b/internal/tandem/members.go
@@ -0,0 +1,94 @@
+package tandem
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+const replaceBytes = 4 << 10
+
+// Members is what GET /members tells.
+type Members struct {
+	Epoch    uint64   `json:"epoch"`         // of the configuration here
+	Since    uint64   `json:"sinceEpoch"`    // that made these the voters; 0: the first start
+	Stands   float64  `json:"standsSeconds"` // for which they have been the voters, as this node has seen it
+	Wanted   int      `json:"wanted"`        // voters that bear the losses that are to be borne
+	Contact  bool     `json:"contact"`       // this node is in contact with more than half of them
+	Voters   []Member `json:"voters"`
+	Learners []Member `json:"learners"`
+}
+
+// Member is a control node as another sees it.
+type Member struct {
+	At     string  `json:"at"`
+	Zone   string  `json:"zone,omitempty"`
+	Disk   string  `json:"disk,omitempty"`        // of a voter: the disk that its votes are on
+	Heard  float64 `json:"heardSecondsAgo"`       // -1: never
+	Behind uint64  `json:"behind"`                // changes
+	Up     bool    `json:"up"`                    // it is heard now
+	Lost   bool    `json:"otherDisk,omitempty"`   // this node itself, listed with a disk that it has no more
+	Self   bool    `json:"thisControl,omitempty"` // the one that answers
+}
+
+// Replacement is the body of POST /members/replace.
+type Replacement struct {
+	Out string `json:"out"` // control addresses
+	In  string `json:"in"`
+}
+
+// member is a control node as this one sees it.
+func (n *Node) member(addr string, epoch uint64) Member {
+	m := Member{At: addr, Zone: n.zone(addr), Heard: -1}
+	if addr == n.self {
+		m.Self, m.Up, m.Heard = true, true, 0
+		return m
+	}
+	if x := n.peer(addr); x != nil {
+		s := x.client.State()
+		if s.Life != 0 {
+			m.Heard = time.Since(s.Heard).Seconds()
+		}
+		m.Up = x.client.Up() && s.Within(fresh)
+		m.Behind = epoch - min(epoch, s.Epoch)
+	}
+	return m
+}
+
+// listMembers tells who chooses, and who could.
+func (n *Node) listMembers(*http.Request, []byte) answer {
+	base, _ := n.voter.base()
+	e := base.Electorate
+	all := Members{Epoch: base.Epoch, Since: e.Since, Stands: n.stands(e).Seconds(), Wanted: max(n.size(), len(e.Voters)), Contact: n.held(), Learners: []Member{}, Voters: []Member{}}
+	for _, v := range e.Voters {
+		m := n.member(v.At, base.Epoch)
+		m.Disk = strconv.FormatUint(v.Disk, 16)
+		m.Lost = m.Self && v != n.voter.selfAs()
+		all.Voters = append(all.Voters, m)
+	}
+	if _, listed := e.At(n.self); !listed {
+		all.Learners = append(all.Learners, n.member(n.self, base.Epoch))
+	}
+	for _, l := range n.learners(e) {
+		all.Learners = append(all.Learners, n.member(l.addr, base.Epoch))
+	}
+	b, err := json.MarshalIndent(all, "", "  ")
+	if err != nil {
+		return no(http.StatusInternalServerError, err.Error())
+	}
+	return answer{http.StatusOK, b}
+}
+
+// replaceMember has an operator put one control node in the place of another among the voters.
+func (n *Node) replaceMember(_ *http.Request, body []byte) answer {
+	var r Replacement
+	if err := json.Unmarshal(body, &r); err != nil || r.Out == "" || r.In == "" {
+		return no(http.StatusBadRequest, "out and in: two control addresses are wanted")
+	}
+	base, _ := n.voter.base()
+	if err := n.replace(base, r.Out, r.In, takeInMost, nil); err != nil {
+		return no(http.StatusConflict, err.Error())
+	}
+	return done
+}
