--- a/internal/tandem/contact_mutant_test.go
+++ b/internal/tandem/contact_mutant_test.go
@@ -24,7 +24,7 @@
 		play func(*testing.T) []string
 	}{
 		{"acknowledges-alone", cut}, {"judges-alone", cut}, {"keeps-counters-alone", cut}, {"ready-alone", cut},
-		{"contact-from-the-answer", model}, {"contact-as-last-looked", wakes}, {"duty-through-a-lapse", wakes},
+		{"contact-from-the-answer", model}, {"contact-as-last-looked", wakes}, {"serves-through-a-lapse", wakes},
 	} {
 		Mutant = ""
 		if wrong := m.play(t); len(wrong) > 0 {
--- a/internal/tandem/node.go
+++ b/internal/tandem/node.go
@@ -427,7 +427,7 @@
 	n.keeper.Lock()
 	defer n.keeper.Unlock()
 	me := n.config.InnerOf(n.self)
-	if n.keeper.term != term && !mutated("duty-through-a-lapse") {
+	if n.keeper.term != term && !mutated("serves-through-a-lapse") {
 		n.keeper.Duty(n.up(), nil, me, false)
 	}
 	n.keeper.term = term
