--- a/internal/tandem/electorate_test.go
+++ b/internal/tandem/electorate_test.go
@@ -326,3 +326,87 @@
 		c.end()
 	})
 }
+
+// Replacing a voter, and taking in an empty disk, at 2 Mbit/s with a configuration of some 1 MB: time and bytes.
+func TestReplaceFigures(t *testing.T) {
+	for _, kind := range []string{"replace", "hand over", "silent", "new disk"} {
+		var took []time.Duration
+		var bytes []int
+		for seed := range figureRuns {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCore(t, 3)
+				c.links = &meter{}
+				c.start(fourth, vfs.NewCrashableMem(), false)
+				for _, off := range []bool{true, false} {
+					for a := range c.nodes {
+						c.cut(a, off)
+					}
+				}
+				pass(3 * time.Second)
+				h := &history{rnd: rand.New(rand.NewPCG(uint64(seed), 5)), names: 4000, size: 350, each: 2000}
+				h.grow(4)
+				h.each = 9
+				h.grow(596)
+				for a := range c.nodes {
+					h.bring(c.nodes[a].voter, uint64(len(h.changes)))
+				}
+				pass(12 * time.Second)
+				c.links.set(2e6 / 8)
+				c.links.reset()
+				x, y, z := c.seeds[0], c.seeds[1], c.seeds[2]
+				began := time.Now()
+				switch kind {
+				case "replace":
+					status, _ := c.ask(y, "POST", "/members/replace", fmt.Sprintf(`{"out":%q,"in":%q}`, x, fourth))
+					c.Equal(status, 200)
+				case "hand over":
+					c.leave(x)
+				case "silent":
+					c.lose(x)
+					c.settled(20*time.Second, y, z, fourth)
+				case "new disk":
+					c.lose(x)
+					c.start(x, vfs.NewCrashableMem(), false)
+					c.settled(20*time.Second, x, y, z)
+				}
+				took = append(took, time.Since(began))
+				n, longest := c.links.reset()
+				bytes = append(bytes, n)
+				c.True(longest <= frameBound)
+				c.end()
+				pass(time.Second)
+			})
+		}
+		slices.Sort(took)
+		slices.Sort(bytes)
+		t.Logf("%s: median %v, worst %v; bytes: median %d, worst %d; of %d", kind, took[figureRuns/2], took[figureRuns-1], bytes[figureRuns/2], bytes[figureRuns-1], figureRuns)
+	}
+}
+
+// Where two losses are to be borne, three voters become five as soon as two learners are ready, and two may fall at once.
+func TestMoreVoters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCore(t, 3)
+		c.start(fourth, vfs.NewCrashableMem(), false)
+		for _, m := range c.nodes {
+			m.settings.Tolerance.Machines = 2
+		}
+		pass(3 * time.Second)
+		c.Equal(c.patch(c.seeds[0], upsert([]string{service("s", 1)}, nil)), 200)
+		pass(20 * time.Second)
+		c.Equal(c.voters(), c.seeds) // four would bear no more than three
+		c.start(fifth, vfs.NewCrashableMem(), false).settings.Tolerance.Machines = 2
+		c.settled(5*time.Second, append(slices.Clone(c.seeds), fourth, fifth)...)
+		status, _ := c.ask(c.seeds[0], "PUT", "/instances/i-1", call1("draining", 1))
+		c.Equal(status, 200)
+		c.lose(c.seeds[0])
+		c.lose(c.seeds[1])
+		c.Equal(c.patch(c.seeds[2], upsert([]string{service("s", 2)}, nil)), 200)
+		c.True(strings.Contains(c.all(), "00000002"))
+		for _, a := range []string{c.seeds[2], fourth, fifth} {
+			_, ok := c.nodes[a].store.Line("i-1")
+			c.True(ok)
+		}
+		c.end()
+	})
+}
