Answer a ping beside the reader of a connection, not in it; show a learner as heard by its feed

Ruled out: the voters' disks, contact, the ballots (no change was chosen in it; the source was last heard 0.5 s before).

--- a/internal/office/trunk/codec.go
+++ b/internal/office/trunk/codec.go
@@ -106,7 +106,8 @@
 		f.Prepare == nil && f.Accept == nil && f.Chosen == nil && f.Since == nil && f.Hold == nil && f.Ping == nil
 }
 
-// slow tells whether what answers this call may wait for a disk.
+// slow tells whether what answers this call may wait for a disk, or comes where both ends write at once: two readers that write answers
+// wait for one another where nothing lies between them.
 func (f *Frame) slow() bool {
-	return f.Call != 0 && (f.Prepare != nil || f.Accept != nil || f.Chosen != nil || f.Since != nil || f.Hold != nil)
+	return f.Call != 0 && (f.Ping != nil || f.Prepare != nil || f.Accept != nil || f.Chosen != nil || f.Since != nil || f.Hold != nil)
 }
--- a/internal/tandem/electorate_test.go
+++ b/internal/tandem/electorate_test.go
@@ -297,7 +297,9 @@
 			c.Equal(len(m.Learners), 1)
 			c.Equal(m.Learners[0].At, fourth)
 			c.Equal(m.Learners[0].Zone, "z10.0.0.4")
-			c.True(m.Contact && m.Wanted == 3 && m.Voters[1].Up)
+			c.True(m.Contact)
+			c.Equal(m.Wanted, 3)
+			c.True(m.Voters[1].Up)
 		}
 		replace := func(at, out, in string) (int, string) {
 			return c.ask(at, "POST", "/members/replace", fmt.Sprintf(`{"out":%q,"in":%q}`, out, in))
--- a/internal/tandem/members.go
+++ b/internal/tandem/members.go
@@ -48,9 +48,12 @@
 	if x := n.peer(addr); x != nil {
 		s := x.client.State()
 		if s.Life != 0 {
-			m.Heard = time.Since(s.Heard).Seconds()
+			m.Heard = max(0, time.Since(s.Heard).Seconds())
 		}
-		m.Up = x.client.Up() && s.Within(fresh)
+		if age := n.contact.age(addr).Seconds(); age >= 0 && (m.Heard < 0 || age < m.Heard) { // voters are asked too
+			m.Heard = age
+		}
+		m.Up = x.client.Up() && m.Heard >= 0 && m.Heard <= fresh.Seconds()
 		m.Behind = epoch - min(epoch, s.Epoch)
 	}
 	return m
