Have a gateway that is cut off from the keeper go by a tenth of its part of a small quota

Now a store gets a tenth of the even part 0.4 s after the keeper last answered, and what it had saved is cut to that once (alone in keeper.go). A keeper under its fence counts as answering. Ruled out: a larger part (0.25 passes 152 at 40 gateways). Nothing changes in service (Settings.Pairs).

--- a/passhub/keeper.go
+++ b/passhub/keeper.go
@@ -11,6 +11,8 @@
 	storedFor = 1.5  // s beyond that for which its store stays
 	young     = 10.0 // s from its start for which a gateway cannot know what the one before it has spent
 	aimPairs  = 0.92
+	thinLapse = 0.4  // s without an answer: the keeper of a thin customer answers each request
+	thinAlone = 0.1 // of its even part, for who is cut off
 	thinPairs = 4.0  // requests in a cycle's even share, below which each asks the keeper
 	youngPart = 0.25 // of its part of the burst, which it then begins with
 )
@@ -108,6 +110,26 @@
 	}
 }
 
+// heardOf notes that a keeper answered for a thin customer, sure of all others or not.
+func (c *customer) heardOf(now Seconds, e Counted) {
+	if e.Outcome == Done || e.Outcome == Failed && e.Holders > 0 {
+		c.ackedAt = now
+	}
+}
+
+// alone is what comes into the store of a thin customer, from which it is decided while the keeper does not answer. Where counters are pairs,
+// those who reach it share the whole quota, so one whose calls go unanswered falls back to a part that is within the slack of the rule.
+func (g *Gateway) alone(c *customer) float64 {
+	rate := g.rate(c) * c.share
+	if !g.s.Pairs || g.now-c.ackedAt < thinLapse {
+		return rate
+	}
+	if c.filled-c.ackedAt < thinLapse {
+		c.level *= thinAlone // what was saved up is the others' too
+	}
+	return min(rate, thinAlone*c.quota/c.doors)
+}
+
 // Doors tells through how many gateways customers may come now, where that is learned.
 func (g *Gateway) Doors(n int) {
 	for _, c := range g.known {
--- a/passhub/quotas.go
+++ b/passhub/quotas.go
@@ -161,7 +161,7 @@
 	slice := g.paced(c)
 	rate, most := slice, max(g.whole(c), c.plan.Burst*min(1, g.stored(c)/c.quota))
 	if c.thin {
-		rate, most = g.rate(c)*c.share, max(1, g.s.MaxUnits, c.plan.Burst*c.share)
+		rate, most = g.alone(c), max(1, g.s.MaxUnits, c.plan.Burst*c.share)
 	}
 	c.level = min(g.room(most), c.level+g.part()*rate*(g.now-c.filled))
 	c.filled = g.now
@@ -325,6 +325,7 @@
 // part, so that what is sent on stays pinned to Q. Up to the burst's room, by the last cycle, all is inside.
 func (g *Gateway) told(c *customer, a query, e Counted) {
 	r, Q, T := a.r, g.rate(c), c.period
+	c.heardOf(g.now, e)
 	if r.answered {
 		return
 	}
