--- a/passhub/keeper.go
+++ b/passhub/keeper.go
@@ -11,7 +11,7 @@
 	storedFor = 1.5  // s beyond that for which its store stays
 	young     = 10.0 // s from its start for which a gateway cannot know what the one before it has spent
 	aimPairs  = 0.88
-	thinLapse = 1.0  // s without an answer: the keeper of a thin customer answers each request
+	thinLapse = 2.0  // s without an answer: the keeper of a thin customer answers each request
 	thinAlone = 0.1  // of its even part, for who is cut off
 	thinPairs = 4.0  // requests in a cycle's even share, below which each asks the keeper
 	youngPart = 0.25 // of its part of the burst, which it then begins with
