Say once what a proper key is and what an item weighs; take out what nobody reads

Read once more: directory.Key.Proper stood in feed's merge and in the voter, an item's bytes in Compose, spanOf and weight (now Item.Size). Left over from the vote's recovery that the electorate replaced: Items.Promised, Pending and Blank, Promise.Since, the voter's log, a learner's epoch; open met the voters that join meets. A reading with a sync held, left and took the lock again. Four copies of the metered core in tests are one (slowable). Behaviour as before; assertions untouched.

--- a/internal/office/directory/item.go
+++ b/internal/office/directory/item.go
@@ -98,6 +98,15 @@
 	return i.Version > old.Version || i.Version == old.Version && mutated("equal-wins")
 }
 
+// longName is how long a name may be, in bytes.
+const longName = 4096
+
+// Proper tells whether a key that another process told of can be one at all.
+func (k Key) Proper() bool { return k.Kind >= Routes && k.Kind <= Limits && len(k.Name) <= longName }
+
+// Size is the bytes of an item on its way, about, without its past.
+func (i Item) Size() int { return 64 + len(i.Key.Name) + len(i.Body) }
+
 // Same tells whether two items of one version say the same, however they spell it.
 func (i Item) Same(o Item) bool {
 	return i.Key == o.Key && i.Version == o.Version && i.Dropped == o.Dropped && says(i.Body, o.Body)
--- a/internal/office/feed/client.go
+++ b/internal/office/feed/client.go
@@ -9,7 +9,6 @@
 
 	"github.com/pkg/errors"
 
-	"mulleinrouter/internal/office/directory"
 	"mulleinrouter/internal/office/lines"
 	"mulleinrouter/internal/office/trunk"
 )
@@ -22,7 +21,6 @@
 	tellAway   = time.Minute            // without word of a source, after which it may have forgotten what changed
 	mostTold   = 2048                   // lines told to one source at once
 	toldEach   = 256                    // lines in one frame
-	longName   = 4096                   // bytes of an item's name
 	mostVoters = 64
 )
 
@@ -272,7 +270,7 @@
 func (c *Client) merge(f *trunk.Feed) {
 	ok := f.Items[:0]
 	for _, i := range f.Items {
-		if i.Key.Kind >= directory.Routes && i.Key.Kind <= directory.Limits && len(i.Key.Name) <= longName {
+		if i.Key.Proper() {
 			ok = append(ok, i)
 		}
 	}
--- a/internal/office/trunk/frame.go
+++ b/internal/office/trunk/frame.go
@@ -129,15 +129,12 @@
 
 // Items answers Since: items chosen behind that epoch, as they stand in the whole of Epoch.
 type Items struct {
-	Next     uint64           `cbor:"8,keyasint,omitempty"` // the position to go on from; 0: nothing more is behind it
-	More     bool             `cbor:"9,keyasint,omitempty"` // lines are behind these
-	Epoch    uint64           `cbor:"1,keyasint"`
-	Items    []directory.Item `cbor:"2,keyasint,omitempty"`
-	Promised ballot.Ballot    `cbor:"3,keyasint,omitempty"`
-	Pending  *ballot.Proposal `cbor:"4,keyasint,omitempty"`
-	Blank    bool             `cbor:"5,keyasint,omitempty"` // the one that answers has an empty disk itself, and knows nothing
-	Voters   []string         `cbor:"6,keyasint,omitempty"` // told by a node of an older version: the electorate of the first start
-	Lines    []lines.Line     `cbor:"7,keyasint,omitempty"` // kept on its disk
+	Next   uint64           `cbor:"8,keyasint,omitempty"` // the position to go on from; 0: nothing more is behind it
+	More   bool             `cbor:"9,keyasint,omitempty"` // lines are behind these
+	Epoch  uint64           `cbor:"1,keyasint"`
+	Items  []directory.Item `cbor:"2,keyasint,omitempty"`
+	Voters []string         `cbor:"6,keyasint,omitempty"` // told by a node of an older version: the electorate of the first start
+	Lines  []lines.Line     `cbor:"7,keyasint,omitempty"` // kept on its disk
 
 	Electorate ballot.Electorate `cbor:"10,keyasint,omitempty"` // that stands in the whole of Epoch
 }
--- a/internal/tandem/ballot/acceptor.go
+++ b/internal/tandem/ballot/acceptor.go
@@ -35,7 +35,7 @@
 
 // Read tells what Prepare would, and promises nothing.
 func (a *Acceptor) Read() Promise {
-	return Promise{Promised: a.Promised, Epoch: a.Epoch, Pending: a.Pending, Disk: a.Disk, Since: a.Electorate.Since}
+	return Promise{Promised: a.Promised, Epoch: a.Epoch, Pending: a.Pending, Disk: a.Disk}
 }
 
 // Accept takes a proposal that builds on the whole that is chosen here, unless a higher ballot was promised or that whole gives
--- a/internal/tandem/ballot/ballot.go
+++ b/internal/tandem/ballot/ballot.go
@@ -38,7 +38,6 @@
 	Epoch    uint64    `cbor:"3,keyasint"`
 	Pending  *Proposal `cbor:"4,keyasint,omitempty"` // accepted, not known to be chosen
 	Disk     uint64    `cbor:"5,keyasint,omitempty"` // that this is on: an answer counts for the voter that is listed with it
-	Since    uint64    `cbor:"6,keyasint,omitempty"` // epoch that set the electorate as it is there
 }
 
 // Accepted answers a proposal. Behind: the voter lacks the whole that it builds on, and Epoch is what it has. Only a voter of the
--- a/internal/tandem/ballot/compose.go
+++ b/internal/tandem/ballot/compose.go
@@ -31,7 +31,7 @@
 		}
 		bytes := 0
 		for _, i := range changed {
-			bytes += 64 + len(i.Key.Name) + len(i.Body)
+			bytes += i.Size()
 		}
 		if size > 0 && !mutated("composes-blind") {
 			if size+bytes > most {
--- a/internal/tandem/catchup.go
+++ b/internal/tandem/catchup.go
@@ -33,8 +33,7 @@
 	fetchStep  = 50 * time.Millisecond
 	mostWait   = 4           // calls of one node that wait for a fetch from it
 	lagMost    = time.Second // that a whole may be newer elsewhere before nobody is to start with the one here
-	itemBytes  = 64          // what an item counts beside its name, its body and its past
-	pastBytes  = 20
+	pastBytes  = 20          // what each version counts in an item's past
 	lineBytes  = 64
 )
 
@@ -148,7 +147,7 @@
 		v.mu.Unlock()
 		return nil
 	}
-	i := &trunk.Items{Epoch: v.a.Epoch, Promised: v.a.Promised, Blank: !v.a.Electorate.Known(), Electorate: v.a.Electorate}
+	i := &trunk.Items{Epoch: v.a.Epoch, Electorate: v.a.Electorate}
 	book, recent := v.store.Book(), v.recent
 	v.mu.Unlock()
 	most := min(q.Most, pieceMost)
@@ -219,7 +218,7 @@
 
 // weight is the bytes of an item in a frame, about: not less than they are.
 func weight(i directory.Item) int {
-	bytes := itemBytes + len(i.Key.Name) + len(i.Body)
+	bytes := i.Size()
 	if i.Past != nil {
 		bytes += pastBytes * len(*i.Past)
 	}
--- a/internal/tandem/catchup_test.go
+++ b/internal/tandem/catchup_test.go
@@ -184,7 +184,7 @@
 	is.Helper()
 	vt, s, err := vault.Open(fs, "d", log.NewNopLogger())
 	is.NoErr(err)
-	v := &voter{self: "x", log: log.NewNopLogger(), store: feed.NewStore(life)}
+	v := &voter{self: "x", store: feed.NewStore(life)}
 	v.load(vt, s, []string{"x", "y", "z"})
 	return v
 }
@@ -449,15 +449,7 @@
 func slowLink(t *testing.T) (total, bytes int) {
 	const size = 20 << 20
 	synctest.Test(t, func(t *testing.T) {
-		c := newCore(t, 3)
-		c.links = &meter{}
-		for _, a := range c.seeds {
-			c.cut(a, true) // so that all connections are metered
-		}
-		for _, a := range c.seeds {
-			c.cut(a, false)
-		}
-		pass(3 * time.Second)
+		c := slowable(t)
 		h := &history{rnd: rand.New(rand.NewPCG(9, 1)), names: size / 4096, size: 4096, each: 40}
 		c.far(h, 500)
 		for _, i := range h.whole(uint64(len(h.changes))) {
@@ -548,19 +540,27 @@
 	t.Logf("%d lines in %d pages", len(got), pages)
 }
 
+// slowable is three nodes, and others that are no seeds, whose links are all metered.
+func slowable(t *testing.T, others ...string) *core {
+	c := newCore(t, 3)
+	c.links = &meter{}
+	for _, a := range others {
+		c.start(a, vfs.NewCrashableMem(), false)
+	}
+	for _, off := range []bool{true, false} { // what was connected before is not
+		for a := range c.nodes {
+			c.cut(a, off)
+		}
+	}
+	pass(3 * time.Second)
+	return c
+}
+
 // readyBehind has a node that is in contact and was ready miss a large change over a slow link. It tells for how long the node told others
 // that it was ready with its old whole, and for how long it was without the new one.
 func readyBehind(t *testing.T) (ready, behind time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCore(t, 3)
-		c.links = &meter{}
-		for _, a := range c.seeds {
-			c.cut(a, true)
-		}
-		for _, a := range c.seeds {
-			c.cut(a, false)
-		}
-		pass(3 * time.Second)
+		c := slowable(t)
 		h := &history{rnd: rand.New(rand.NewPCG(4, 1)), names: 2000, size: 1024, each: 2000}
 		h.grow(1)
 		for _, a := range c.seeds {
@@ -603,15 +603,7 @@
 func TestRecoverSlowly(t *testing.T) {
 	late, took := 0, time.Duration(0)
 	synctest.Test(t, func(t *testing.T) {
-		c := newCore(t, 3)
-		c.links = &meter{}
-		for _, a := range c.seeds {
-			c.cut(a, true)
-		}
-		for _, a := range c.seeds {
-			c.cut(a, false)
-		}
-		pass(3 * time.Second)
+		c := slowable(t)
 		h := &history{rnd: rand.New(rand.NewPCG(6, 1)), names: 6000, size: 1024, each: 2000}
 		h.grow(8)
 		for _, a := range c.seeds {
@@ -655,15 +647,7 @@
 		var bytes []int
 		for seed := range figureRuns {
 			synctest.Test(t, func(t *testing.T) {
-				c := newCore(t, 3)
-				c.links = &meter{}
-				for _, a := range c.seeds {
-					c.cut(a, true)
-				}
-				for _, a := range c.seeds {
-					c.cut(a, false)
-				}
-				pass(3 * time.Second)
+				c := slowable(t)
 				h := &history{rnd: rand.New(rand.NewPCG(uint64(seed), 2)), names: 4000, size: 350, each: 9}
 				h.each = 2000
 				h.grow(4) // the first configurations
--- a/internal/tandem/electorate.go
+++ b/internal/tandem/electorate.go
@@ -160,7 +160,6 @@
 // learner is a control node outside the electorate that could enter it.
 type learner struct {
 	addr, zone string
-	epoch      uint64
 }
 
 // learners is those that are heard, in the order of their addresses.
@@ -169,7 +168,7 @@
 		if _, ok := e.At(x.addr); ok || !x.client.Up() {
 			return
 		}
-		all = append(all, learner{x.addr, n.zone(x.addr), x.client.State().Epoch})
+		all = append(all, learner{x.addr, n.zone(x.addr)})
 	})
 	slices.SortFunc(all, func(a, b learner) int { return cmp.Compare(a.addr, b.addr) })
 	return all
--- a/internal/tandem/electorate_test.go
+++ b/internal/tandem/electorate_test.go
@@ -336,15 +336,7 @@
 		var bytes []int
 		for seed := range figureRuns {
 			synctest.Test(t, func(t *testing.T) {
-				c := newCore(t, 3)
-				c.links = &meter{}
-				c.start(fourth, vfs.NewCrashableMem(), false)
-				for _, off := range []bool{true, false} {
-					for a := range c.nodes {
-						c.cut(a, off)
-					}
-				}
-				pass(3 * time.Second)
+				c := slowable(t, fourth)
 				h := &history{rnd: rand.New(rand.NewPCG(uint64(seed), 5)), names: 4000, size: 350, each: 2000}
 				h.grow(4)
 				h.each = 9
--- a/internal/tandem/node.go
+++ b/internal/tandem/node.go
@@ -119,7 +119,7 @@
 		store: feed.NewStore(c.Life), big: make(chan struct{}, 2), stir: make(chan struct{}, 1), ended: make(chan struct{}), lame: lameFor}
 	n.clock = feed.NewClock(n.up)
 	n.name = s.Node + "/" + lifeName(n.life)
-	n.voter = &voter{self: n.self, log: n.log, store: n.store, own: func(b ballot.Ballot) bool { return strings.HasPrefix(b.Node, n.name+"/") },
+	n.voter = &voter{self: n.self, store: n.store, own: func(b ballot.Ballot) bool { return strings.HasPrefix(b.Node, n.name+"/") },
 		draw: func() uint64 { return n.life }, turned: n.stirred}
 	n.desk = newDesk(n)
 	n.roll = newRoll(n.store, s.Beat, n.up)
@@ -253,9 +253,8 @@
 	n.before.Store(int64(s.Members))
 	n.vault.Store(v)
 	n.stirred()
-	voters, votes := n.voter.electorate()
+	_, votes := n.voter.electorate()
 	n.log.Log("msg", "disk read", "blank", s.Blank, "epoch", s.Acceptor.Epoch, "items", len(s.Items), "lines", len(s.Lines), "votes", votes)
-	n.meet(ctx, all, voters)
 	n.join(ctx, all)
 	return nil
 }
--- a/internal/tandem/propose.go
+++ b/internal/tandem/propose.go
@@ -450,7 +450,7 @@
 func spanOf(items []directory.Item) time.Duration {
 	bytes := 0
 	for _, i := range items {
-		bytes += 64 + len(i.Key.Name) + len(i.Body)
+		bytes += i.Size()
 	}
 	return perMegabyte * time.Duration(bytes>>10) >> 10
 }
--- a/internal/tandem/voter.go
+++ b/internal/tandem/voter.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-kit/log"
-
 	"mulleinrouter/internal/office/directory"
 	"mulleinrouter/internal/office/feed"
 	"mulleinrouter/internal/office/trunk"
@@ -17,7 +15,7 @@
 
 const (
 	diskPatience = 500 * time.Millisecond // that an answer waits for the disk: the others are enough
-	longName     = 4096                   // bytes of an item's name
+	longName     = 4096                   // bytes of what an ingress calls itself and its zone
 	mostRecent   = 256                    // changes that are kept to be told to who lacks them
 )
 
@@ -25,7 +23,6 @@
 // lock alone, so that the store's book is at any time the whole of the acceptor's epoch.
 type voter struct {
 	self   string // own control address
-	log    log.Logger
 	store  *feed.Store
 	own    func(ballot.Ballot) bool // a ballot is of this process
 	draw   func() uint64            // a name for a new disk
@@ -103,19 +100,14 @@
 func (v *voter) prepare(q *trunk.Prepare) *ballot.Promise {
 	v.mu.Lock()
 	if q.Read {
-		defer v.mu.Unlock()
-		if !v.a.Electorate.Known() {
-			return nil
+		known, p := v.a.Electorate.Known(), v.a.Read()
+		var t *vault.Ticket
+		if known && q.Synced {
+			t = v.vault.Put(vault.Batch{Acceptor: &v.a})
 		}
-		p := v.a.Read()
-		if q.Synced {
-			t := v.vault.Put(vault.Batch{Acceptor: &v.a})
-			v.mu.Unlock()
-			ok := synced(t, 0)
-			v.mu.Lock()
-			if !ok {
-				return nil
-			}
+		v.mu.Unlock()
+		if !known || !synced(t, 0) {
+			return nil
 		}
 		return &p
 	}
@@ -222,7 +214,7 @@
 // proper tells whether items that another process told of can be such at all.
 func proper(items []directory.Item) bool {
 	return !slices.ContainsFunc(items, func(i directory.Item) bool {
-		return i.Key.Kind < directory.Routes || i.Key.Kind > directory.Limits || len(i.Key.Name) > longName
+		return !i.Key.Proper()
 	})
 }
 
