--- a/cmd/testboard/main.go
+++ b/cmd/testboard/main.go
@@ -25,9 +25,10 @@
 )
 
 type program struct {
-	Slopes measure `cmd:"" help:"Measure what each part costs by the size of what it knows."`
-	Plan   reckon  `cmd:"" help:"Reckon what each role needs at a size, from stored slopes, and say which limit binds first."`
-	Try    tryCmd  `cmd:"" help:"Play the three programs on this box, with faults, and judge what was seen."`
+	Slopes measure  `cmd:"" help:"Measure what each part costs by the size of what it knows."`
+	Plan   reckon   `cmd:"" help:"Reckon what each role needs at a size, from stored slopes, and say which limit binds first."`
+	Days   drawDays `cmd:"" help:"Draw days of trouble for the core, as files for the bench."`
+	Try    tryCmd   `cmd:"" help:"Play the three programs on this box, with faults, and judge what was seen."`
 }
 
 type measure struct {
--- /dev/null
+++ b/internal/testboard/days/days.go
@@ -0,0 +1,160 @@
+// Package days draws days of trouble for the core: which of its machines are cut off, killed, emptied or stopped, when, in which of the
+// ways that the bench of the operators knows (`fleetbench kinds`), while the configuration changes. A seed always draws the same day. It does no I/O.
+package days
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+)
+
+// Seconds are counted from the start of traffic.
+type Seconds = float64
+
+// Trouble is one entry of a day. Its strings are TOML values as they stand in the file.
+type Trouble struct {
+	At     Seconds
+	Kind   string
+	Fields []string // name = value
+}
+
+func (t Trouble) String() string {
+	return fmt.Sprintf("  { at = %.2f, kind = %q%s },", t.At, t.Kind, strings.Join(append([]string{""}, t.Fields...), ", "))
+}
+
+// Day is what a file of a day holds. Traffic is that of the deployment.
+type Day struct {
+	Name    string
+	Seed    uint64
+	One     float64 // the marks between which worth less prices is read as a score
+	Zero    float64
+	Closing string // a TOML table; empty: none
+	Plan    []Trouble
+	Faults  []Trouble
+}
+
+const (
+	first = 5.0  // s: when the first fault may come
+	last  = 26.0 // s: and the last
+)
+
+// Draw draws a day: between two and four faults of the core, changes of the configuration through the day, now and then
+// hundreds of them, other planned work, and mostly a closing fault.
+func Draw(seed uint64, one, zero float64) Day {
+	d := drawing{rand.New(rand.NewPCG(seed, 7))}
+	day := Day{Name: fmt.Sprintf("worst-%02d", seed), Seed: 1000 + seed, One: one, Zero: zero}
+	for range 2 + d.IntN(3) {
+		day.Faults = append(day.Faults, d.fault(d.between(first, last)))
+	}
+	day.Plan = append(day.Plan, d.changes()...)
+	for range 1 + d.IntN(3) {
+		day.Plan = append(day.Plan, d.planned(d.between(3, last)))
+	}
+	for _, list := range [][]Trouble{day.Faults, day.Plan} {
+		slices.SortStableFunc(list, func(a, b Trouble) int { return int(1000*a.At) - int(1000*b.At) })
+	}
+	if kind := d.pick("", "power_off_all", "wipe_after_ack", "wipe_after_ack", "kill_all"); kind != "" {
+		day.Closing = fmt.Sprintf("{ kind = %q, down_s = %.2f", kind, d.between(0.7, 1.5))
+		if kind == "wipe_after_ack" {
+			day.Closing += fmt.Sprintf(", how = %q", d.pick("", "timed", "taken"))
+		}
+		day.Closing += " }"
+	}
+	return day
+}
+
+type drawing struct{ *rand.Rand }
+
+func (d drawing) between(least, most float64) float64 { return least + (most-least)*d.Float64() }
+func (d drawing) pick(of ...string) string            { return of[d.IntN(len(of))] }
+
+// how joins one choice from each list of variants.
+func (d drawing) how(lists ...[]string) string {
+	var words []string
+	for _, l := range lists {
+		if w := d.pick(l...); w != "" {
+			words = append(words, w)
+		}
+	}
+	return fmt.Sprintf("how = %q", strings.Join(words, " "))
+}
+
+func (d drawing) lasting(least, most Seconds) string {
+	return fmt.Sprintf("for_s = %.1f", d.between(least, most))
+}
+
+var (
+	whose  = []string{"", "leader", "reader", "seed"}
+	silent = []string{"", "", "reset", "refuse"}
+	after  = []string{"", "meet", "race", "meet race", "race hard"}
+)
+
+// fault is one of the core.
+func (d drawing) fault(at Seconds) Trouble {
+	switch d.IntN(10) {
+	case 0, 1:
+		return Trouble{at, "core_cut", []string{"count = 1", d.lasting(4, 20), d.how(whose, silent, []string{"", "", "one_way", "seeds", "both"}, after)}}
+	case 2:
+		return Trouble{at, "core_cut", []string{"count = 1", "for_s = 20.0", d.how(whose, []string{"", "seeds"}, after)}}
+	case 3, 4:
+		return Trouble{at, "node_kill", []string{`on = "core"`, "count = 1", d.lasting(1, 4), d.how([]string{"", "power"}, whose, after, []string{"", "drain"})}}
+	case 5:
+		return Trouble{at, "after_ack_kill", []string{d.lasting(1, 3), d.how([]string{"", "kill"}, []string{"", "timed", "taken"})}}
+	case 6:
+		return Trouble{at, "after_ack_wipe", []string{d.lasting(1, 3), d.how([]string{"", "timed"})}}
+	case 7:
+		return Trouble{at, "herd_kill", []string{`on = "core"`, d.lasting(1, 2), d.how([]string{"", "power"}, []string{"", "taken"})}}
+	case 8:
+		return Trouble{at, "disk_stall", []string{"count = 1", d.lasting(1, 4), d.how([]string{"", "leader"})}}
+	}
+	return Trouble{at, "roll_term", []string{`on = "core"`, "x = 1.0", fmt.Sprintf("gap_s = %.1f", d.between(3, 6)), d.how([]string{"", "busy", "remove"})}}
+}
+
+// changes of the configuration: a few, or one in a fraction of a second all day.
+func (d drawing) changes() (all []Trouble) {
+	gap := d.between(3, 8)
+	if d.IntN(4) == 0 {
+		gap = d.between(0.1, 0.25)
+	}
+	for at := d.between(2, 4); at < last; at += gap * d.between(0.7, 1.3) {
+		all = append(all, Trouble{at, "config_change", []string{d.how([]string{"route", "weights", "timeout", "tenant", "quota", "idle"})}})
+	}
+	return all
+}
+
+// planned is other work beside it.
+func (d drawing) planned(at Seconds) Trouble {
+	switch d.IntN(5) {
+	case 0:
+		return Trouble{at, "config_race", []string{fmt.Sprintf("count = %d", 1+d.IntN(4)), fmt.Sprintf("gap_s = %.1f", d.between(0.2, 1.2))}}
+	case 1:
+		return Trouble{at, "bad_config", []string{"count = 3", "gap_s = 0.6", d.how([]string{"cut_short", "unknown_service", "same_place", "no_weight", "no_timeout",
+			"old_version", "same_version", "stale_match", "shared_key"})}}
+	case 2:
+		return Trouble{at, "revoke", []string{"count = 2", "gap_s = 1.0"}}
+	case 3:
+		return Trouble{at, "release", []string{"share = 0.3", "x = 1.0", "gap_s = 1.0"}}
+	}
+	return Trouble{at, "scale_in", []string{fmt.Sprintf("share = %.2f", d.between(0.08, 0.15))}}
+}
+
+// String is the file of the day.
+func (d Day) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "name = %q\nslot = \"trouble\"\nseed = %d\none = %g\nzero = %g\n", d.Name, d.Seed, d.One, d.Zero)
+	if d.Closing != "" {
+		fmt.Fprintf(&b, "closing = %s\n", d.Closing)
+	}
+	for _, list := range []struct {
+		name string
+		of   []Trouble
+	}{{"plan", d.Plan}, {"faults", d.Faults}} {
+		fmt.Fprintf(&b, "%s = [\n", list.name)
+		for _, t := range list.of {
+			fmt.Fprintln(&b, t)
+		}
+		fmt.Fprintln(&b, "]")
+	}
+	return b.String()
+}
