--- a/internal/tandem/calls.go
+++ b/internal/tandem/calls.go
@@ -29,8 +29,9 @@
 	coldMost   = 600 // seconds
 	idleFor    = 5 * time.Second
 	bodyWithin = 10 * time.Second
-	beatWithin = time.Second           // its body: the server waits for the answer no longer
-	promptly   = 50 * time.Millisecond // where room is short
+	beatWithin = time.Second            // its body: the server waits for the answer no longer
+	promptly   = 50 * time.Millisecond  // where room is short
+	slowly     = 250 * time.Millisecond // an operator's call that takes so long is logged
 )
 
 // call is one that servers or operators make.
@@ -144,7 +145,11 @@
 	if c.contact && !n.touch(r.Context()) {
 		return noContact
 	}
+	began := time.Now()
 	a := c.do(n, r, body)
+	if took := time.Since(began); c.operator && took >= slowly {
+		n.log.Log("msg", "slow answer", "call", c.pattern, "ms", took.Milliseconds(), "status", a.status)
+	}
 	if c.contact && !n.held() && !mutated("acknowledges-alone") {
 		return noContact // the process may have stood still meanwhile
 	}
