Serve calm tenants from what comes in where no keeper answers, not by a chance each

Now a store is cut once, as a silence begins, and the gateway's share comes in after that until the lapse, which follows the quota: 0.4 s and 8 requests' time.

--- a/passhub/admission.go
+++ b/passhub/admission.go
@@ -90,11 +90,12 @@
 		return false
 	}
 	g.fill(c)
-	if c.level < c.units(r) {
-		return false
+	g.restrain(c, r)
+	if p := c.level / c.units(r); p < 1 {
+		return g.luck(c, r, p)
 	}
 	c.level -= c.units(r)
-	return g.luck(c, r)
+	return true
 }
 
 // refuse answers a request that may not have run.
--- a/passhub/keeper.go
+++ b/passhub/keeper.go
@@ -11,9 +11,10 @@
 	storedFor = 1.5  // s beyond that for which its store stays
 	young     = 10.0 // s from its start for which a gateway cannot know what the one before it has spent
 	aimPairs  = 0.88
-	thinLapse = 1.0  // s without an answer of any keeper: the keeper of a thin customer answers each request
-	thinStore = 0.5  // of the burst: stores of thin customers, as those who reach the keeper have a burst of their own
-	thinSpare = 12.0 // requests beyond it in all stores together, where these hold less than one each
+	thinLeast = 0.4  // s without an answer of any keeper: the keeper of a thin customer answers each request
+	thinMore  = 8.0  // requests that may run meanwhile beyond what runs in that time
+	thinStore = 0.4  // of the burst: stores of thin customers, as those who reach the keeper have a burst of their own
+	thinSpare = 8.0  // requests beyond it in all stores together, where these hold less than one each
 	thinAlone = 0.1  // of its even part, for who is cut off
 	thinPairs = 4.0  // requests in a cycle's even share, below which each asks the keeper
 	bucketFor = 3.0  // cycles after which a total says nothing of what ran since
@@ -23,8 +24,9 @@
 
 // pairs is what a customer has where counters are pairs.
 type pairs struct {
-	ackedAt Seconds // when a keeper last took a report
-	bucket  bucket  // of a thin customer
+	ackedAt  Seconds // when a keeper last took a report
+	silentAt Seconds // when a request first met no keeper, after one had answered
+	bucket   bucket  // of a thin customer
 }
 
 // bucket is a token bucket of the whole quota, as one gateway reckons it from the totals that it sees: what all together have let through.
@@ -153,30 +155,44 @@
 	return g.now
 }
 
+// thinLapse is how long a gateway that no keeper answers goes by its share of a thin customer's quota: what all who are cut off let through meanwhile
+// must be within the slack of the rule, of which a part is a number of requests.
+func (g *Gateway) thinLapse(c *customer) Seconds { return min(lapse, thinLeast+thinMore/g.rate(c)) }
+
 // alone is what comes into the store of a thin customer, from which it is decided while the keeper does not answer. Where counters are pairs,
 // those who reach it share the whole quota, so one that no keeper answers any more falls back to a part that is within the slack of the rule. Where
 // others answer, the customer's keeper is changing hands: then nobody reaches it, and the stores are all there is.
 func (g *Gateway) alone(c *customer) float64 {
-	rate, heard := g.rate(c)*c.share, max(c.ackedAt, g.kept)
-	if !g.s.Pairs || g.now-heard < thinLapse {
+	rate, at, most := g.rate(c)*c.share, g.reachedAt(c), g.thinLapse(c)
+	if !g.s.Pairs || g.now-at < most {
 		return rate
 	}
-	if c.filled-heard < thinLapse {
+	if c.filled-at < most {
 		c.level *= thinAlone // what was saved up is the others' too
 	}
 	return min(rate, thinAlone*c.quota/c.doors)
 }
 
-// luck lets a request through that the store of a thin customer has room for. A burst is let in by those who reach the keeper, so where no keeper has
-// answered since the request came, the stores of all gateways together stand for a part of one more, or a few requests where a gateway's part
-// is less than one: each lets so much of it through by chance. Where others answered, the customer's keeper is changing hands, as in alone.
-func (g *Gateway) luck(c *customer, r *request) bool {
+// reachedAt is when a gateway last knew that it is not cut off from the keepers.
+func (g *Gateway) reachedAt(c *customer) Seconds { return max(c.ackedAt, g.kept) }
+
+// restrain cuts a store to a part where no keeper has answered since a request came: a burst is let in by those who reach them, so the stores of all
+// gateways together stand for a part of one more and a few requests. What comes in after that is the gateway's share, until the lapse.
+func (g *Gateway) restrain(c *customer, r *request) {
+	if at := g.reachedAt(c); g.s.Pairs && c.thin && g.kept < r.arrived && c.silentAt <= at {
+		c.silentAt = g.now
+		c.level = min(c.level, thinStore*c.plan.Burst*c.share+thinSpare*max(1, g.s.MaxUnits)/c.doors+g.part()*g.rate(c)*c.share*min(g.now-at, g.thinLapse(c)))
+	}
+}
+
+// luck lets a request of a thin customer through for which its store holds less than it needs, with that chance, where no keeper has answered since
+// it came. The store is empty then: over many gateways just what they hold runs.
+func (g *Gateway) luck(c *customer, r *request, p float64) bool {
 	if !g.s.Pairs || !c.thin || g.kept >= r.arrived {
-		return true
+		return false
 	}
-	whole := max(1, g.s.MaxUnits)
-	most := max(whole, c.plan.Burst*c.share)
-	return g.rng.Float64()*most < max(thinStore*c.plan.Burst*c.share, min(whole, thinSpare*whole/c.doors))
+	c.level = 0
+	return g.rng.Float64() < p
 }
 
 // brake lowers the common ratio where more has run than the quota and its burst. The ratio follows the totals of two cycles and so lags where a rush
