--- a/passhub/thin_cut_test.go
+++ b/passhub/thin_cut_test.go
@@ -1,6 +1,7 @@
 package passhub
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/matryer/is"
@@ -22,28 +23,31 @@
 	for _, part := range []int{2, 3, 1000} {
 		for _, times := range []float64{3, 6, 9} {
 			for _, gap := range []float64{0, 1, 4} {
-				worst := 0
-				plan := Plan{Rate: rate, Burst: rate, Price: 1}
-				for seed := range seeds {
-					w := newQuotaWorld(seed, nodes, plan, func(i int) float64 { return 0.5 * plan.Rate / float64(nodes) * (0.5 + float64(i%3)*0.5) })
-					w.run(14, nil)
-					for i, n := range w.nodes {
-						n.cut = i%part == part-1
+				t.Run(fmt.Sprintf("%d gateways, %.0f a second, one of %d cut, %.0f quotas asked %.0f s later", nodes, rate, part, times, gap), func(t *testing.T) {
+					t.Parallel()
+					worst := 0
+					plan := Plan{Rate: rate, Burst: rate, Price: 1}
+					for seed := range seeds {
+						w := newQuotaWorld(seed, nodes, plan, func(i int) float64 { return 0.5 * plan.Rate / float64(nodes) * (0.5 + float64(i%3)*0.5) })
+						w.run(14, nil)
+						for i, n := range w.nodes {
+							n.cut = i%part == part-1
+						}
+						w.run(gap, nil)
+						for _, n := range w.nodes {
+							n.rate *= 2 * times
+						}
+						w.run(8, nil)
+						for _, n := range w.nodes {
+							n.cut = false
+						}
+						w.run(4, nil)
+						worst = max(worst, w.most(5))
 					}
-					w.run(gap, nil)
-					for _, n := range w.nodes {
-						n.rate *= 2 * times
+					if worst > allowed(plan) {
+						t.Errorf("%d ran in five seconds, %d may", worst, allowed(plan))
 					}
-					w.run(8, nil)
-					for _, n := range w.nodes {
-						n.cut = false
-					}
-					w.run(4, nil)
-					worst = max(worst, w.most(5))
-				}
-				if worst > allowed(plan) {
-					t.Errorf("%d gateways, %.0f a second, one of %d cut, %.0f quotas asked %.0f s later: %d ran in five seconds, %d may", nodes, rate, part, times, gap, worst, allowed(plan))
-				}
+				})
 			}
 		}
 	}
