--- a/internal/tandem/electorate.go
+++ b/internal/tandem/electorate.go
@@ -90,14 +90,14 @@
 }
 
 // enroll has this node take the place of itself with the disk that is lost. It tells whether there is nothing to do.
-func (n *Node) enroll() bool {
+func (n *Node) enroll(ctx context.Context) bool {
 	base, _ := n.voter.base()
 	self := n.voter.selfAs()
 	listed, ok := base.Electorate.At(self.At)
 	if !ok || listed == self {
 		return true
 	}
-	err := n.desk.move(move{base.Electorate, base.Electorate.Replaced(self.At, self)}, takeInMost)
+	err := n.desk.move(ctx, move{base.Electorate, base.Electorate.Replaced(self.At, self)}, takeInMost)
 	if err != nil {
 		n.log.Log("msg", "not in the electorate yet", "err", err)
 		return false
@@ -115,7 +115,7 @@
 		}
 		voters, _ := n.voter.electorate()
 		n.meet(ctx, all, voters)
-		n.enroll()
+		n.enroll(ctx)
 	}
 }
 
@@ -207,8 +207,8 @@
 }
 
 // tend has a voter that is silent for long replaced, and an electorate that is too small enlarged. The first of the living voters does it; the
-// others come after, if it does not: several that do it at once are harmless.
-func (n *Node) tend() {
+// others come after, if it does not: several that do it at once are harmless. It ends with the context, before the node does.
+func (n *Node) tend(ctx context.Context, all *sync.WaitGroup) {
 	base, book := n.voter.base()
 	e := base.Electorate
 	stands := n.stands(e)
@@ -235,27 +235,27 @@
 		return
 	}
 	n.electors.tending.Store(true)
-	go func() {
+	all.Go(func() {
 		defer n.electors.tending.Store(false)
 		if grow {
-			n.enlarge(base, next[:2])
+			n.enlarge(ctx, base, next[:2])
 			return
 		}
 		for _, l := range next {
-			if n.replace(base, out, l.addr, takeInMost, func() bool { return n.silent(out, n.stands(e)) > after }) == nil {
+			if n.replace(ctx, base, out, l.addr, takeInMost, func() bool { return n.silent(out, n.stands(e)) > after }) == nil {
 				return
 			}
 		}
-	}()
+	})
 }
 
 // probe asks a control node for itself as a voter: it has all of a base on its disk. One that is a little behind is waited for.
-func (n *Node) probe(addr string, base ballot.Base) (v ballot.Voter, err error) {
+func (n *Node) probe(ctx context.Context, addr string, base ballot.Base) (v ballot.Voter, err error) {
 	for range 5 {
-		if v, err = n.probeOnce(addr, base); !errors.Is(err, errBehind) {
+		if v, err = n.probeOnce(addr, base); !errors.Is(err, errBehind) || ctx.Err() != nil {
 			break
 		}
-		time.Sleep(probeEach)
+		pause(ctx, probeEach)
 	}
 	return v, err
 }
@@ -278,7 +278,7 @@
 }
 
 // replace has one control node take the place of another in the electorate, in one step. While, where there is one, must hold to the last.
-func (n *Node) replace(base ballot.Base, out, in string, most time.Duration, while func() bool) error {
+func (n *Node) replace(ctx context.Context, base ballot.Base, out, in string, most time.Duration, while func() bool) error {
 	e := base.Electorate
 	if _, ok := e.At(out); !ok {
 		return errors.Newf("%s is no voter", out)
@@ -286,12 +286,12 @@
 	if _, ok := e.At(in); ok {
 		return errors.Newf("%s is a voter already", in)
 	}
-	v, err := n.probe(in, base)
+	v, err := n.probe(ctx, in, base)
 	if err == nil && while != nil && !while() {
 		err = errors.Newf("%s is back", out)
 	}
 	if err == nil {
-		err = n.change(e, e.Replaced(out, v), most, v)
+		err = n.change(ctx, e, e.Replaced(out, v), most, v)
 	}
 	if err != nil {
 		n.log.Log("msg", "not replaced", "out", out, "in", in, "err", err)
@@ -301,23 +301,23 @@
 	return nil
 }
 
-func (n *Node) enlarge(base ballot.Base, by []learner) {
+func (n *Node) enlarge(ctx context.Context, base ballot.Base, by []learner) {
 	voters := slices.Clone(base.Electorate.Voters)
 	var in []ballot.Voter
 	for _, l := range by {
-		v, err := n.probe(l.addr, base)
+		v, err := n.probe(ctx, l.addr, base)
 		if err != nil {
 			return
 		}
 		voters, in = append(voters, v), append(in, v)
 	}
-	if err := n.change(base.Electorate, voters, takeInMost, in...); err == nil {
+	if err := n.change(ctx, base.Electorate, voters, takeInMost, in...); err == nil {
 		n.log.Log("msg", "more voters", "count", len(voters))
 	}
 }
 
 // change has the electorate changed, if majorities of the one that stands and of the next are in contact, newcomers with them.
-func (n *Node) change(from ballot.Electorate, to []ballot.Voter, most time.Duration, newcomers ...ballot.Voter) error {
+func (n *Node) change(ctx context.Context, from ballot.Electorate, to []ballot.Voter, most time.Duration, newcomers ...ballot.Voter) error {
 	for _, half := range [][]ballot.Voter{from.Voters, to} {
 		heard := 0
 		for _, v := range half {
@@ -332,11 +332,11 @@
 	if len(to) < len(from.Voters) {
 		return errors.New("fewer voters would bear fewer losses")
 	}
-	return n.desk.move(move{from, to}, most)
+	return n.desk.move(ctx, move{from, to}, most)
 }
 
 // handOver has a learner take this node's place among the voters before it ends.
-func (n *Node) handOver() {
+func (n *Node) handOver(ctx context.Context) {
 	base, _ := n.voter.base()
 	if !base.Electorate.Has(n.voter.selfAs()) {
 		return
@@ -347,10 +347,10 @@
 	}
 	began := time.Now()
 	for _, l := range n.successors(base.Electorate, n.self) {
-		if time.Since(began) > handMost {
+		if time.Since(began) > handMost || ctx.Err() != nil {
 			break
 		}
-		if n.replace(base, n.self, l.addr, handMost, nil) == nil {
+		if n.replace(ctx, base, n.self, l.addr, handMost, nil) == nil {
 			return
 		}
 	}
--- a/internal/tandem/electorate_test.go
+++ b/internal/tandem/electorate_test.go
@@ -1,6 +1,7 @@
 package tandem
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"maps"
@@ -226,7 +227,7 @@
 				disks[x] = c.leave(x)
 			case 3: // an operator replaces it
 				base, _ := c.nodes[y].voter.base()
-				go c.nodes[y].replace(base, x, fourth, takeInMost, nil)
+				go c.nodes[y].replace(context.Background(), base, x, fourth, takeInMost, nil)
 			}
 			order(y)
 			time.Sleep(time.Duration(rnd.IntN([]int{5, 50, 500, 12000}[rnd.IntN(4)])) * time.Millisecond)
@@ -377,6 +378,24 @@
 	}
 }
 
+// A node that ends while it has the electorate changed, which the others' disks hold up, leaves nothing of it running.
+func TestEndsAmidChangeOfMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCoreOf4(t)
+		x, y, z := c.seeds[0], c.seeds[1], c.seeds[2]
+		c.lose(z)
+		pass(3 * time.Second)
+		c.nodes[x].hang.set(true)
+		m := c.nodes[y]
+		for until := time.Now().Add(10 * time.Second); !m.electors.tending.Load(); pass(10 * time.Millisecond) {
+			c.True(time.Now().Before(until))
+		}
+		c.leave(y)
+		c.True(!m.electors.tending.Load())
+		c.end()
+	})
+}
+
 // Where two losses are to be borne, three voters become five as soon as two learners are ready, and two may fall at once.
 func TestMoreVoters(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/tandem/members.go
+++ b/internal/tandem/members.go
@@ -84,13 +84,13 @@
 }
 
 // replaceMember has an operator put one control node in the place of another among the voters.
-func (n *Node) replaceMember(_ *http.Request, body []byte) answer {
+func (n *Node) replaceMember(q *http.Request, body []byte) answer {
 	var r Replacement
 	if err := json.Unmarshal(body, &r); err != nil || r.Out == "" || r.In == "" {
 		return no(http.StatusBadRequest, "out and in: two control addresses are wanted")
 	}
 	base, _ := n.voter.base()
-	if err := n.replace(base, r.Out, r.In, takeInMost, nil); err != nil {
+	if err := n.replace(q.Context(), base, r.Out, r.In, takeInMost, nil); err != nil {
 		return no(http.StatusConflict, err.Error())
 	}
 	return done
--- a/internal/tandem/node.go
+++ b/internal/tandem/node.go
@@ -153,7 +153,7 @@
 	broken := make(chan error, 2)
 	n.meet(work, &all, n.settings.Seeds)
 	all.Go(func() { n.desk.run(work) })
-	all.Go(func() { n.watch(work) })
+	all.Go(func() { n.watch(work, &all) })
 	all.Go(func() { n.keepUp(work, &all) })
 	all.Go(func() { n.serveInner(work, inner, &all) })
 	opened := make(chan struct{})
@@ -180,7 +180,7 @@
 		n.log.Log("msg", "told to end")
 		go func() {
 			defer close(handed)
-			n.handOver()
+			n.handOver(work)
 		}()
 		server.SetKeepAlivesEnabled(false)
 	}
@@ -368,7 +368,7 @@
 }
 
 // watch does what time alone brings on.
-func (n *Node) watch(ctx context.Context) {
+func (n *Node) watch(ctx context.Context, all *sync.WaitGroup) {
 	t := time.NewTicker(tick)
 	defer t.Stop()
 	last, since := uint64(0), n.started // the span of contact
@@ -413,7 +413,7 @@
 		}
 		n.sweep()
 		n.lags(now)
-		n.tend()
+		n.tend(ctx, all)
 		if round%4 == 0 {
 			n.roll.forget(n.vault.Load())
 			n.roll.flush(n.vault.Load())
--- a/internal/tandem/propose.go
+++ b/internal/tandem/propose.go
@@ -78,8 +78,8 @@
 }
 
 // move has the electorate changed. It returns nil once it is, and is on the disks of more than half of the new one.
-func (d *desk) move(m move, most time.Duration) error {
-	return d.choose(context.Background(), &change{move: &m}, most)
+func (d *desk) move(ctx context.Context, m move, most time.Duration) error {
+	return d.choose(ctx, &change{move: &m}, most)
 }
 
 func (d *desk) choose(ctx context.Context, c *change, most time.Duration) error {
