Serve small quotas of small fleets by slices with a store of one request, and begin ceilings with the burst

Lines at fault: customer() in passhub/quotas.go began every ceiling at nothing, though nothing is sent on beyond those plans' quotas; adopt() took members for thin whose stores could hold a request each within two bursts; fill() let a store hold less than the largest request.

Change: a ceiling begins with the quota's burst where nothing is sent on beyond the quota (elsewhere at nothing, as before); thin is where a request at each gateway is over two bursts; every other store holds a request; a fifth of a store is left to dearer requests (internal/odds/mix.go).

--- a/passhub/admission.go
+++ b/passhub/admission.go
@@ -23,6 +23,7 @@
 	g.requests[e.ID] = r
 	g.open = append(g.open, r)
 	c.demand += e.Units
+	c.mix.Told(class.Worth, e.Units)
 	c.fast = c.fast*math.Exp((c.fastAt-g.now)/fastSpan) + 1/fastSpan
 	c.fastAt = g.now
 	if c.thin && !g.evenPart(c) && g.s.MayCount && g.now >= g.muted && e.Left > g.s.CountWait+2*tickEvery {
@@ -86,12 +87,13 @@
 	if c.thin && (g.believed(c) || g.silent > 0 && c.ratio > 0) && g.rng.Float64() >= c.ratio {
 		return false // a silent counter freezes the ratio
 	}
-	if c.thin && g.wide(c) && !g.believed(c) && g.odds.Inside(r.Repeat) < worth {
+	if c.thin && c.plan.BeyondCosts > 0 && !g.believed(c) && g.odds.Inside(r.Repeat) < worth {
 		return false
 	}
 	g.fill(c)
 	g.restrain(c, r)
-	if p := c.level / c.units(r); p < 1 {
+	// A part of the store is for dearer requests: of one that is full it costs nothing.
+	if p := (c.level - keptForDear*c.most*c.mix.Dearer(r.class.Worth)) / c.units(r); p < 1 {
 		return g.luck(c, r, p)
 	}
 	c.level -= c.units(r)
--- a/passhub/gateway.go
+++ b/passhub/gateway.go
@@ -23,14 +23,14 @@
 	changeCycles       = 3        // after a change of terms, others may not have heard of it
 	idleLapse          = 60.0     // s without use after which a customer, or a backend gone, is forgotten
 
-	thinUnits            = 0.6         // largest requests in a cycle's even share: below it a slice is noise
+	keptForDear          = 0.2         // of a store, for requests dearer than one
 	aimShare             = 0.85        // of the quota, by chance: a store near empty refuses by chance
 	weightMost           = 0.15        // of a cycle's quota that one call may add
 	validMost            = 4.0         // cycles for which a total that keeps saying the same is believed
 	chanceUp, chanceDown = 0.005, 0.75 // added on an answer, times this on none
 	chanceCuts           = 0.1         // s between cuts: a stall leaves many unanswered, and is one sign
 	yieldPower           = 4.0         // of the chance: calls that decide nothing give way so much sooner
-	wideBursts           = 2.0         // bursts that a request at each gateway may be while unwatched
+	thinBursts           = 2.0         // bursts that a request at each gateway may be: stores hold one each
 	crowded              = 0.6         // chance below which no second call is made for a request
 	chanceLeast          = 0.02        // or no answer would ever raise it again
 
--- a/passhub/hold.go
+++ b/passhub/hold.go
@@ -91,12 +91,16 @@
 	}
 }
 
-// whole is what the store of a held customer holds at the least, however little of the quota is here: one request.
+// whole is what a store holds at the least, however little of the quota is here: one request. Over all gateways that is two bursts at most, or the
+// customer is thin; where counters are pairs only a held customer's does, as those who are cut off would let in what is beyond the rule's slack.
 func (g *Gateway) whole(c *customer) float64 {
-	if g.rights[c.key] == nil {
+	switch {
+	case g.rights[c.key] != nil:
+		return max(1, g.s.MaxUnits)
+	case g.s.Pairs:
 		return 0
 	}
-	return max(1, g.s.MaxUnits)
+	return min(c.plan.Burst, max(1, g.s.MaxUnits))
 }
 
 // lendCeiling has the parts of a hard ceiling follow those of the quota: what a gateway has beyond the even part another has less.
--- a/passhub/quotas.go
+++ b/passhub/quotas.go
@@ -9,30 +9,32 @@
 	"strings"
 
 	"mulleinrouter/internal/ceiling"
+	"mulleinrouter/internal/odds"
 )
 
 type customer struct {
-	key, tag, suffix  string // tag: of its terms; suffix: of the names of its counters
-	pairs                    // where counters are pairs
-	hash              uint32 // of its key
-	plan              *Plan
-	doors, quota      float64 // gateways it may use; what slices share: units a second, or attempts open
-	open              int     // attempts out
-	seen, fastAt      Seconds
-	fast              float64 // requests a second asked just now
-	slice, level      float64 // units a second, units in the local store
-	ceiling           float64 // what this gateway's part of the ceiling still lets through
-	filled, ceilFill  Seconds // when level and ceiling were reckoned
-	period, phase     Seconds
-	cycle             int64
-	since, readAt     Seconds // when the cycle began; when its totals are to be read, 0: not now
-	demand, r         float64 // units asked in this cycle, units a second asked in the last one
-	calls             int     // made in this cycle
-	R, k              float64 // last believed totals
-	totalAt, validFor Seconds // when they came, and how long they are believed
-	holdTill          Seconds // until then totals of fewer gateways than before are not believed
+	key, tag, suffix   string // tag: of its terms; suffix: of the names of its counters
+	pairs                     // where counters are pairs
+	hash               uint32 // of its key
+	plan               *Plan
+	doors, quota       float64 // gateways it may use; what slices share: units a second, or attempts open
+	open               int     // attempts out
+	seen, fastAt       Seconds
+	fast               float64  // requests a second asked just now
+	slice, level, most float64  // units a second; units in the local store, and that it can hold
+	mix                odds.Mix // what it asks for
+	ceiling            float64  // what this gateway's part of the ceiling still lets through
+	filled, ceilFill   Seconds  // when level and ceiling were reckoned
+	period, phase      Seconds
+	cycle              int64
+	since, readAt      Seconds // when the cycle began; when its totals are to be read, 0: not now
+	demand, r          float64 // units asked in this cycle, units a second asked in the last one
+	calls              int     // made in this cycle
+	R, k               float64 // last believed totals
+	totalAt, validFor  Seconds // when they came, and how long they are believed
+	holdTill           Seconds // until then totals of fewer gateways than before are not believed
 
-	thin       bool    // a cycle's even share holds no request: each request is a report of its own
+	thin       bool    // a request at each gateway is over two bursts: each request reports itself
 	sum, ratio float64 // total of this cycle so far; the common ratio x/r by the last totals
 	share      float64 // of the demand that comes through this gateway, by the last totals
 	asks       []query
@@ -60,7 +62,7 @@
 		c.validFor = freshCycles * c.period
 		c.slice, c.level = c.quota/c.doors, g.store(c, t) // fill cuts it
 		c.share = 1 / c.doors
-		c.ceilFill = g.started // used up then: a gateway that was killed cannot know what it spent
+		c.ceilFill, c.ceiling = g.started, c.plan.ceilingAtStart()/c.doors
 		g.customers[e.Customer] = c
 		g.known = append(g.known, c)
 	}
@@ -81,7 +83,7 @@
 	c.phase = float64(c.hash%1024) / 1024 * c.period
 	c.cycle = c.cycleAt(g.now)
 	if c.thin = c.quota > 0 && c.doors > 2*c.quota; c.plan.Rate > 0 {
-		c.thin = c.doors > 1 && min(c.quota*c.period/thinUnits, c.plan.Burst) < c.doors*max(1, g.s.MaxUnits)
+		c.thin = c.doors > 1 && thinBursts*c.plan.Burst < c.doors*max(1, g.s.MaxUnits)
 	}
 	g.thinOfPairs(c)
 }
@@ -163,7 +165,8 @@
 	if c.thin {
 		rate, most = g.alone(c), max(1, g.s.MaxUnits, c.plan.Burst*c.share)
 	}
-	c.level = min(g.room(most), c.level+g.part()*rate*(g.now-c.filled))
+	c.most = g.room(most)
+	c.level = min(c.most, c.level+g.part()*rate*(g.now-c.filled))
 	c.filled = g.now
 }
 
@@ -281,7 +284,7 @@
 // callChance is how likely a request of a thin customer asks the counter. What is added is divided by it,
 // so it must not weigh much in a cycle: large quotas need few calls, small ones all. When the counter cannot
 // take them all, some customers are not watched, the same ones at all gateways, for half a total is noise;
-// first those whose answer decides nothing. But all wide ones are watched, and sampled more thinly.
+// first those whose answer decides nothing. Where what is beyond costs, all are watched, but sampled thinly.
 func (g *Gateway) callChance(c *customer, r *request) float64 {
 	if g.s.Pairs {
 		return 1
@@ -291,7 +294,7 @@
 		watched, decides := g.chance, c.plan.ExcessWorth <= c.plan.BeyondCosts
 		if !decides {
 			watched = math.Pow(g.chance, yieldPower)
-		} else if least > g.chance && g.wide(c) {
+		} else if least > g.chance && c.plan.BeyondCosts > 0 {
 			return g.chance
 		}
 		if float64(c.hash)/math.MaxUint32*least > watched {
@@ -301,11 +304,6 @@
 	return least + (1-least)*min(1, (g.now-c.totalAt)/c.validFor)*g.chance
 }
 
-// wide tells whether a request at each gateway is more than the burst: unwatched, all of them let one in.
-func (g *Gateway) wide(c *customer) bool {
-	return c.plan.BeyondCosts > 0 && c.doors*max(1, g.s.MaxUnits) > wideBursts*c.plan.Burst
-}
-
 // rate is what a full quota lets through in a second; a quarter of an open limit may be out on average.
 func (g *Gateway) rate(c *customer) float64 {
 	if c.plan.Rate <= 0 {
@@ -320,10 +318,9 @@
 	g.count(r.c, cycle, add)
 }
 
-// told decides a request of a thin customer. Exception: where a cycle's even share is below a few requests,
-// r is 0 or noise. Then each counted request is a report: it adds itself, and the answer of that add is the
-// read. The step is the same: with R under the quota x covers r, above it x is Q*r/R, and chance admits that
-// part, so that what is sent on stays pinned to Q. Up to the burst's room, by the last cycle, all is inside.
+// told decides a request of a thin customer. Exception: each counted one is a report, as r is 0 or noise. It
+// adds itself, and the answer is the read. The step is the same: with R under the quota x covers r, above it
+// x is Q*r/R, and chance admits that part: it stays pinned to Q. Up to the burst's room all is inside.
 func (g *Gateway) told(c *customer, a query, e Counted) {
 	r, Q, T := a.r, g.rate(c), c.period
 	g.heardOf(c, e)
@@ -351,7 +348,7 @@
 	spent := min(T, g.now-float64(now)*T-c.phase)
 	if !known {
 		if before = 0; c.sum > Q*spent && c.sum > a.add+1e-6 {
-			if g.chance >= crowded || !g.wide(c) {
+			if g.chance >= crowded || c.plan.BeyondCosts <= 0 {
 				g.ask(r, a.cycle-1, 0)
 				return
 			}
--- a/passhub/terms.go
+++ b/passhub/terms.go
@@ -21,3 +21,13 @@
 func (p *Plan) split(doors float64, counter bool) ceiling.Split {
 	return ceiling.Split{Rate: p.CeilingRate, Depth: p.CeilingDepth, Slack: p.CeilingSlack, Doors: doors, Counter: counter}
 }
+
+// ceilingAtStart is what all gateways together take their own parts of the ceiling to hold when they start, in units. Where requests are sent on
+// beyond the quota that is nothing: one that was killed cannot know what it spent. Where none are, it is the quota's burst: what runs is
+// bounded by that, and the ceiling is well above it.
+func (p *Plan) ceilingAtStart() float64 {
+	if p.ExcessWorth > p.BeyondCosts {
+		return 0
+	}
+	return p.Burst
+}
