--- a/passhub/keeper.go
+++ b/passhub/keeper.go
@@ -5,21 +5,22 @@
 // keep them. The step is that of quotas.go. It is not part of the simulator's policy: there, a counter is one number.
 
 const (
-	smoothing = 0.5  // weight of a cycle in r: any r is pinned to the quota, and a noisy one moves slices for nothing
-	present   = 1e-6 // units a second: what a gateway adds that was asked nothing, so that it counts as a holder
-	lapse     = 2.4  // s without a report taken: its slice may be given to others soon (tally.Retain is 3.0)
-	storedFor = 1.5  // s beyond that for which its store stays
-	young     = 10.0 // s from its start for which a gateway cannot know what the one before it has spent
-	aimPairs  = 0.88
-	thinLeast = 0.4  // s without an answer of any keeper: the keeper of a thin customer answers each request
-	thinMore  = 8.0  // requests that may run meanwhile beyond what runs in that time
-	thinStore = 0.4  // of the burst: stores of thin customers, as those who reach the keeper have a burst of their own
-	thinSpare = 8.0  // requests beyond it in all stores together, where these hold less than one each
-	thinAlone = 0.1  // of its even part, for who is cut off
-	thinPairs = 4.0  // requests in a cycle's even share, below which each asks the keeper
-	bucketFor = 3.0  // cycles after which a total says nothing of what ran since
-	brakeOver = 0.5  // cycles' quota by which a bucket is overdrawn at which nothing is let through
-	youngPart = 0.25 // of its part of the burst, which it then begins with
+	smoothing  = 0.5  // weight of a cycle in r: any r is pinned to the quota, and a noisy one moves slices for nothing
+	present    = 1e-6 // units a second: what a gateway adds that was asked nothing, so that it counts as a holder
+	lapse      = 2.4  // s without a report taken: its slice may be given to others soon (tally.Retain is 3.0)
+	storedFor  = 1.5  // s beyond that for which its store stays
+	young      = 10.0 // s from its start for which a gateway cannot know what the one before it has spent
+	aimPairs   = 0.88
+	overbooked = 1.5  // bursts that all stores together may hold, where counters are no pairs
+	thinLeast  = 0.4  // s without an answer of any keeper: the keeper of a thin customer answers each request
+	thinMore   = 8.0  // requests that may run meanwhile beyond what runs in that time
+	thinStore  = 0.4  // of the burst: stores of thin customers, as those who reach the keeper have a burst of their own
+	thinSpare  = 8.0  // requests beyond it in all stores together, where these hold less than one each
+	thinAlone  = 0.1  // of its even part, for who is cut off
+	thinPairs  = 4.0  // requests in a cycle's even share, below which each asks the keeper
+	bucketFor  = 3.0  // cycles after which a total says nothing of what ran since
+	brakeOver  = 0.5  // cycles' quota by which a bucket is overdrawn at which nothing is let through
+	youngPart  = 0.25 // of its part of the burst, which it then begins with
 )
 
 // pairs is what a customer has where counters are pairs.
@@ -99,7 +100,11 @@
 
 // stored is the slice whose share of the burst the local store may hold. It falls back later than what comes into it: a keeper that is late
 // for a moment, or a process that stood still, would else cost at once what was saved up, and what is well within the quota be refused.
+// Elsewhere stores are overbooked: what comes in stays pinned to the quota, but few requests a cycle come anywhere else than the last cycle's did.
 func (g *Gateway) stored(c *customer) float64 {
+	if !g.s.Pairs {
+		return overbooked * c.slice
+	}
 	if g.now-c.ackedAt < lapse+storedFor {
 		return c.slice
 	}
