Hand a store that is below nothing over as empty at an upgrade, not as none

Seen on reading what an upgrade does to the second user's quotas, whose sizes are guesses: requests that turn out larger take a store below nothing, and Take (passhub/state.go) leaves out members with a level under 0, as it must with what cannot be. So the newer process met such a member as a new one, with a full store: a burst for each upgrade.

Change: Share hands over half of what is there, 0 where nothing is; the debt stays with the older process. Test: TestStoreBelowNothingIsHandedOverEmpty ("0 members taken up" before).

--- a/passhub/state.go
+++ b/passhub/state.go
@@ -68,7 +68,8 @@
 	DownTill, FullTill Seconds
 }
 
-// Share halves what the local stores hold, and returns the other half with all that has been learned.
+// Share halves what the local stores hold, and returns the other half with all that has been learned. What a store is below nothing, for requests turned out
+// larger than guessed, stays here: the newer process begins with none of it, not with a full store.
 func (g *Gateway) Share(now Seconds) Knowledge {
 	g.now = now
 	k := Knowledge{At: now, Usual: g.lat, Rate: g.sentRate, Chance: g.chance}
@@ -77,13 +78,14 @@
 		if c.quota > 0 {
 			g.fill(c)
 		}
-		c.level, c.ceiling = c.level/2, c.ceiling/2
+		half := max(0, c.level) / 2
+		c.level, c.ceiling = c.level-half, c.ceiling/2
 		totalAt := c.totalAt
 		if math.IsInf(totalAt, -1) {
 			totalAt = 0 // files have no infinity
 		}
 		k.Customers = append(k.Customers, CustomerKnowledge{Terms: Terms{Customer: c.key, Plan: *c.plan, Tag: c.tag}, Doors: int(c.doors), Slice: c.slice,
-			Level: c.level, Ceiling: c.ceiling, Filled: c.filled, CeilFill: c.ceilFill, Rate: c.r, Total: c.R, Told: c.k, TotalAt: totalAt,
+			Level: half, Ceiling: c.ceiling, Filled: c.filled, CeilFill: c.ceilFill, Rate: c.r, Total: c.R, Told: c.k, TotalAt: totalAt,
 			ValidFor: c.validFor, Ratio: c.ratio, Part: c.share})
 	}
 	for b := range g.all() {
--- a/passhub/state_test.go
+++ b/passhub/state_test.go
@@ -118,3 +118,22 @@
 		})
 	}
 }
+
+// A member whose store is below nothing, as its requests turned out larger than guessed, has no full one at the newer process.
+func TestStoreBelowNothingIsHandedOverEmpty(t *testing.T) {
+	plan := Plan{Name: "q", Rate: 30, Burst: 60, Price: 1, BeyondCosts: 1}
+	_, f := upgraded(t, plan, 60, nil)
+	old := f.gateways[0]
+	old.now = f.now
+	old.fill(old.customers["c"])
+	old.customers["c"].level = -4
+	g := New(testSettings(), 2)
+	g.Handle(f.now, Start{})
+	g.Handle(f.now, Backends{Complete: true, List: []Backend{up("x", 0)}})
+	if customers, _ := g.Take(f.now, old.Share(f.now)); customers != 1 {
+		t.Fatalf("%d members taken up", customers)
+	}
+	if here, there := old.customers["c"].level, g.customers["c"].level; here != -4 || there != 0 {
+		t.Errorf("stores of %v here and %v at the newer process, want -4 and 0", here, there)
+	}
+}
