Say the least request, and whether work beyond a quota pays, in one place each

Tests: campus uses the counter that was there, counts by class and keeps what is due in one pass; a process that has just started is made in one place in state_test.go. No assertion changed; one check in TestDearerRequestsFirst that the classes differ in worth went, as the test sets the worths itself.

--- a/internal/tandem/electorate.go
+++ b/internal/tandem/electorate.go
@@ -42,7 +42,7 @@
 	to   []ballot.Voter
 }
 
-// join finds out who chooses, and has this node taken into the electorate where its address is listed with a disk that is lost.
+// join finds out who chooses, and meets them.
 func (n *Node) join(ctx context.Context, all *sync.WaitGroup) {
 	for ; ctx.Err() == nil; pause(ctx, askEach) {
 		if base, _ := n.voter.base(); base.Electorate.Known() {
@@ -89,22 +89,21 @@
 	asking.Wait()
 }
 
-// enroll has this node take the place of itself with the disk that is lost. It tells whether there is nothing to do.
-func (n *Node) enroll(ctx context.Context) bool {
+// enroll has this node take the place of itself with the disk that is lost, where its address is listed with that.
+func (n *Node) enroll(ctx context.Context) {
 	base, _ := n.voter.base()
 	self := n.voter.selfAs()
 	listed, ok := base.Electorate.At(self.At)
 	if !ok || listed == self {
-		return true
+		return
 	}
 	err := n.desk.move(ctx, move{base.Electorate, base.Electorate.Replaced(self.At, self)}, takeInMost)
 	if err != nil {
 		n.log.Log("msg", "not in the electorate yet", "err", err)
-		return false
+		return
 	}
 	base, _ = n.voter.base()
 	n.log.Log("msg", "vote recovered", "epoch", base.Epoch)
-	return true
 }
 
 // keepUp keeps up with the electorate: it meets who is new there, and has this node taken in.
--- a/passhub/campus_test.go
+++ b/passhub/campus_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -14,15 +13,15 @@
 	rnd     *rand.Rand
 	s       Settings
 	at      []*Gateway
-	totals  map[string]float64
+	m       counter
 	silent  bool
 	late    Seconds
 	due     []answer
 	now     Seconds
 	next    Seconds // when it asks next
 	id      uint64
-	sent    map[float64]float64 // units sent on, by the worth of the request
-	ceiling float64             // store of the hard ceiling, as one node that sees all would keep it
+	sent    map[string]float64 // units sent on, by class
+	ceiling float64            // store of the hard ceiling, as one node that sees all would keep it
 	lowest  float64
 	asked   map[uint64]Request
 	largest float64 // units of the largest that was sent on
@@ -49,9 +48,9 @@
 }
 
 func newCampus(t *testing.T, seed uint64, doors int, p Plan) *campus {
-	c := &campus{T: t, rnd: rand.New(rand.NewPCG(seed, 1)), totals: map[string]float64{}, sent: map[float64]float64{}, asked: map[uint64]Request{}, now: 100, ceiling: p.CeilingDepth}
+	c := &campus{T: t, rnd: rand.New(rand.NewPCG(seed, 1)), m: counter{}, sent: map[string]float64{}, asked: map[uint64]Request{}, now: 100, ceiling: p.CeilingDepth}
 	c.s = testSettings()
-	c.s.Classes[1].Worth = 5.0 / 3
+	c.s.Classes[1].Worth = 5.0 / 3 // keyed; the safe one is worth 1
 	c.s.Balancers, c.s.MaxUnits, c.s.CountWait, c.s.Plans = doors, 6, 0.08, []Plan{p}
 	for range doors {
 		c.at = append(c.at, nil)
@@ -76,12 +75,11 @@
 			if c.silent {
 				c.due = append(c.due, answer{c.now + c.s.CountWait, i, Counted{Name: a.Name, Outcome: TimedOut}})
 			} else {
-				c.totals[a.Name] += a.Add
-				c.due = append(c.due, answer{c.now + c.late*c.rnd.Float64(), i, Counted{Name: a.Name, Outcome: Done, Total: c.totals[a.Name]}})
+				c.due = append(c.due, answer{c.now + c.late*c.rnd.Float64(), i, c.m.add(a)})
 			}
 		case Send:
 			r := c.asked[a.ID]
-			c.sent[worthOf(c.s, r.Class)] += r.Units
+			c.sent[r.Class] += r.Units
 			c.largest = max(c.largest, r.Units)
 			c.ceiling -= r.Units
 			c.lowest = min(c.lowest, c.ceiling)
@@ -106,15 +104,6 @@
 	return guess + float64(c.rnd.IntN(3)-1)
 }
 
-func worthOf(s Settings, class string) float64 {
-	for _, c := range s.Classes {
-		if c.Name == class {
-			return c.Worth
-		}
-	}
-	return 0
-}
-
 // play has the member ask so many units a second for a while: this part of it at one gateway, the rest evenly.
 func (c *campus) play(span Seconds, units, crowd float64) {
 	p := c.s.Plans[0]
@@ -122,19 +111,15 @@
 		before := c.now
 		c.now += 0.05
 		c.ceiling = min(p.CeilingDepth, c.ceiling+p.CeilingRate*(c.now-before))
-		for n := range c.due {
-			if d := c.due[n]; d.at <= c.now {
-				c.due[n].at = math.Inf(1)
+		due := c.due
+		c.due = nil
+		for _, d := range due {
+			if d.at > c.now {
+				c.due = append(c.due, d)
+			} else {
 				c.do(d.to, c.at[d.to].Handle(c.now, d.Counted))
 			}
 		}
-		live := c.due[:0]
-		for _, d := range c.due {
-			if !math.IsInf(d.at, 1) {
-				live = append(live, d)
-			}
-		}
-		c.due = live
 		for i, g := range c.at {
 			c.do(i, g.Handle(c.now, Timer{"tick"}))
 		}
@@ -235,12 +220,7 @@
 		c.play(20, tc.units, 0.2)
 		clear(c.sent)
 		c.play(2000, tc.units, 0.2)
-		worths := []float64{worthOf(c.s, "safe"), worthOf(c.s, "keyed")}
-		dear, cheap := max(worths[0], worths[1]), min(worths[0], worths[1])
-		if dear == cheap {
-			t.Fatal("the classes are worth the same")
-		}
-		if ratio := c.sent[dear] / c.sent[cheap]; ratio < tc.least || ratio > tc.most {
+		if ratio := c.sent["keyed"] / c.sent["safe"]; ratio < tc.least || ratio > tc.most {
 			t.Errorf("%v units a second: %.2f times as much of the dearer", tc.units, ratio)
 		}
 	}
--- a/passhub/gateway.go
+++ b/passhub/gateway.go
@@ -97,7 +97,7 @@
 		backends: map[string]*backend{}, customers: map[string]*customer{}, requests: map[uint64]*request{},
 		groups: map[string]*pool{}, patience: map[string]Seconds{}, chance: 1, rated: 1,
 	}
-	g.pool = g.group("")
+	g.pool, g.s.MaxUnits = g.group(""), max(1, s.MaxUnits)
 	g.s.Balancers, g.s.MaxAttempts = max(1, s.Balancers), max(1, s.MaxAttempts)
 	for i := range s.Classes {
 		g.classes[s.Classes[i].Name] = &s.Classes[i]
--- a/passhub/hold.go
+++ b/passhub/hold.go
@@ -96,11 +96,11 @@
 func (g *Gateway) whole(c *customer) float64 {
 	switch {
 	case g.rights[c.key] != nil:
-		return max(1, g.s.MaxUnits)
+		return g.s.MaxUnits
 	case g.s.Pairs:
 		return 0
 	}
-	return min(c.plan.Burst, max(1, g.s.MaxUnits))
+	return min(c.plan.Burst, g.s.MaxUnits)
 }
 
 // lendCeiling has the parts of a hard ceiling follow those of the quota: what a gateway has beyond the even part another has less.
--- a/passhub/keeper.go
+++ b/passhub/keeper.go
@@ -116,7 +116,7 @@
 	if g.s.Pairs && g.now-g.started < young {
 		return 1 + youngPart*t.Plan.Burst/c.doors
 	}
-	return t.Plan.Burst + max(1, g.s.MaxUnits)
+	return t.Plan.Burst + g.s.MaxUnits
 }
 
 // suffix ends the names of a customer's counters. Packed totals of two quotas must not be mixed; pairs say the same under any quota.
@@ -186,7 +186,7 @@
 func (g *Gateway) restrain(c *customer, r *request) {
 	if at := g.reachedAt(c); g.s.Pairs && c.thin && g.kept < r.arrived && c.silentAt <= at {
 		c.silentAt = g.now
-		c.level = min(c.level, thinStore*c.plan.Burst*c.share+thinSpare*max(1, g.s.MaxUnits)/c.doors+g.part()*g.rate(c)*c.share*min(g.now-at, g.thinLapse(c)))
+		c.level = min(c.level, thinStore*c.plan.Burst*c.share+thinSpare*g.s.MaxUnits/c.doors+g.part()*g.rate(c)*c.share*min(g.now-at, g.thinLapse(c)))
 	}
 }
 
--- a/passhub/quotas.go
+++ b/passhub/quotas.go
@@ -83,7 +83,7 @@
 	c.phase = float64(c.hash%1024) / 1024 * c.period
 	c.cycle = c.cycleAt(g.now)
 	if c.thin = c.quota > 0 && c.doors > 2*c.quota; c.plan.Rate > 0 {
-		c.thin = c.doors > 1 && thinBursts*c.plan.Burst < c.doors*max(1, g.s.MaxUnits)
+		c.thin = c.doors > 1 && thinBursts*c.plan.Burst < c.doors*g.s.MaxUnits
 	}
 	g.thinOfPairs(c)
 }
@@ -163,7 +163,7 @@
 	slice := g.paced(c)
 	rate, most := slice, max(g.whole(c), c.plan.Burst*min(1, g.stored(c)/c.quota))
 	if c.thin {
-		rate, most = g.alone(c), max(1, g.s.MaxUnits, c.plan.Burst*c.share)
+		rate, most = g.alone(c), max(g.s.MaxUnits, c.plan.Burst*c.share)
 	}
 	c.most = g.room(most)
 	c.level = min(c.most, c.level+g.part()*rate*(g.now-c.filled))
@@ -291,8 +291,8 @@
 	}
 	least := min(1, c.units(r)/(weightMost*g.rate(c)*c.period))
 	if g.unheard < muteAfter { // else who tries it?
-		watched, decides := g.chance, c.plan.ExcessWorth <= c.plan.BeyondCosts
-		if !decides {
+		watched := g.chance
+		if c.plan.sendsBeyond() { // the answer decides nothing
 			watched = math.Pow(g.chance, yieldPower)
 		} else if least > g.chance && c.plan.BeyondCosts > 0 {
 			return g.chance
--- a/passhub/state.go
+++ b/passhub/state.go
@@ -25,7 +25,7 @@
 
 // room is how much of a store this process may hold: its part, but a whole request.
 func (g *Gateway) room(most float64) float64 {
-	return max(min(most, max(1, g.s.MaxUnits)), g.part()*most)
+	return max(min(most, g.s.MaxUnits), g.part()*most)
 }
 
 // reporter is what a report adds to the number of gateways that ask.
--- a/passhub/state_test.go
+++ b/passhub/state_test.go
@@ -18,9 +18,7 @@
 	if join != nil {
 		s := testSettings()
 		s.Balancers = 3
-		young := New(s, 9)
-		young.Handle(f.now, Start{})
-		young.Handle(f.now, Backends{Complete: true, List: []Backend{up("x", 0), up("y", 0)}})
+		young := younger(f, s, 9, up("x", 0), up("y", 0))
 		join(f, f.gateways[0], young)
 		f.gateways, f.terms, f.owed = append(f.gateways, young), append(f.terms, f.terms[0]), append(f.owed, 0)
 		each = []float64{demand / 6, demand / 3, demand / 3, demand / 6}
@@ -30,6 +28,14 @@
 	return f.sent - before, f
 }
 
+// younger is a process that has just started and heard the list.
+func younger(f *member, s Settings, seed uint64, list ...Backend) *Gateway {
+	g := New(s, seed)
+	g.Handle(f.now, Start{})
+	g.Handle(f.now, Backends{Complete: true, List: list})
+	return g
+}
+
 // Both processes of an upgrade are one gateway to a member: they send on what the one would, by quota and by ceiling, where
 // two that know nothing of each other send on more.
 func TestTwoProcessesAreOneGateway(t *testing.T) {
@@ -72,12 +78,7 @@
 	before := old.customers["c"].level
 	old.backends["x"].limit, old.backends["x"].lat = 40, 0.5
 	k := old.Share(f.now)
-	fresh := func() *Gateway {
-		g := New(testSettings(), 2)
-		g.Handle(f.now, Start{})
-		g.Handle(f.now, Backends{Complete: true, List: []Backend{up("x", 0)}})
-		return g
-	}
+	fresh := func() *Gateway { return younger(f, testSettings(), 2, up("x", 0)) }
 	begin := fresh().backends["x"].limit
 	approx := cmpopts.EquateApprox(0, 1e-6)
 	for _, tc := range []struct {
@@ -127,9 +128,7 @@
 	old.now = f.now
 	old.fill(old.customers["c"])
 	old.customers["c"].level = -4
-	g := New(testSettings(), 2)
-	g.Handle(f.now, Start{})
-	g.Handle(f.now, Backends{Complete: true, List: []Backend{up("x", 0)}})
+	g := younger(f, testSettings(), 2, up("x", 0))
 	if customers, _ := g.Take(f.now, old.Share(f.now)); customers != 1 {
 		t.Fatalf("%d members taken up", customers)
 	}
--- a/passhub/terms.go
+++ b/passhub/terms.go
@@ -22,11 +22,14 @@
 	return ceiling.Split{Rate: p.CeilingRate, Depth: p.CeilingDepth, Slack: p.CeilingSlack, Doors: doors, Counter: counter}
 }
 
+// sendsBeyond tells whether requests are sent on beyond the quota: they earn more than they cost.
+func (p *Plan) sendsBeyond() bool { return p.ExcessWorth > p.BeyondCosts }
+
 // ceilingAtStart is what all gateways together take their own parts of the ceiling to hold when they start, in units. Where requests are sent on
 // beyond the quota that is nothing: one that was killed cannot know what it spent. Where none are, it is two thirds of the quota's burst: what
 // runs is bounded by the quota, and the ceiling is well above that (in the model, killed thrice in a second; with all of the burst it broke).
 func (p *Plan) ceilingAtStart() float64 {
-	if p.ExcessWorth > p.BeyondCosts {
+	if p.sendsBeyond() {
 		return 0
 	}
 	return p.Burst * 2 / 3
