--- a/cmd/linefinder/main.go
+++ b/cmd/linefinder/main.go
@@ -13,6 +13,7 @@
 
 	"mulleinrouter/internal/linefinder"
 	"mulleinrouter/internal/office/console"
+	"mulleinrouter/internal/rehearsed/links"
 )
 
 const name = "linefinder"
@@ -32,7 +33,10 @@
 // heap is what the agent may use before the collector works harder, in bytes: the machine's memory is the proxy's.
 const heap = 32 << 20
 
-type serve struct{ settings }
+type serve struct {
+	settings
+	Links string `hidden:"" help:"For rehearsals: a file that says which hosts the process is cut off from."`
+}
 
 func (s *serve) Run() error {
 	// Memory is dear on these machines and the agent makes little garbage; only one thread runs at a time there.
@@ -43,7 +47,13 @@
 	if err != nil {
 		return err
 	}
-	return linefinder.Run(s.File, p, log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)))
+	var cuts *links.Links // nil: none
+	if s.Links != "" {
+		if cuts, err = links.Follow(s.Links); err != nil {
+			return err
+		}
+	}
+	return linefinder.Run(s.File, p, log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)), cuts.Dialer(linefinder.Dial))
 }
 
 type check struct{ settings }
--- a/cmd/tandem/main.go
+++ b/cmd/tandem/main.go
@@ -5,16 +5,20 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/go-kit/log"
 
 	"mulleinrouter/internal/office/console"
+	"mulleinrouter/internal/office/trunk"
+	"mulleinrouter/internal/rehearsed/links"
 	"mulleinrouter/internal/tandem"
 )
 
@@ -34,7 +38,8 @@
 const heap = 64 << 20
 
 type serve struct {
-	File string `short:"c" help:"Settings file. Default: the one that ${variable} names." placeholder:"FILE"`
+	File  string `short:"c" help:"Settings file. Default: the one that ${variable} names." placeholder:"FILE"`
+	Links string `hidden:"" help:"For rehearsals: a file that says which hosts the process is cut off from."`
 }
 
 func (s *serve) Run() error {
@@ -46,7 +51,15 @@
 		return err
 	}
 	debug.SetMemoryLimit(max(heap, int64(p.Limits.MemoryMB)<<20/2))
-	n, err := tandem.New(tandem.Config{Settings: p, Log: log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))})
+	c := tandem.Config{Settings: p, Log: log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))}
+	if s.Links != "" {
+		l, err := links.Follow(s.Links)
+		if err != nil {
+			return err
+		}
+		c.Dial = l.Dialer(func(ctx context.Context, inner string) (net.Conn, error) { return trunk.Dial(ctx, inner, time.Second) })
+	}
+	n, err := tandem.New(c)
 	if err != nil {
 		return err
 	}
--- a/cmd/testboard/days.go
+++ b/cmd/testboard/days.go
@@ -16,11 +16,16 @@
 	Count uint64  `help:"How many days." default:"24"`
 	One   float64 `help:"Worth less prices that counts as a score of 1." default:"0.925"`
 	Zero  float64 `help:"Worth less prices that counts as a score of 0." default:"0.575"`
+	Any   bool    `help:"Draw from every kind of trouble, not those of the core alone."`
 }
 
 func (c *drawDays) Run() error {
 	for seed := c.First; seed < c.First+c.Count; seed++ {
-		d := days.Draw(seed, c.One, c.Zero)
+		draw := days.Draw
+		if c.Any {
+			draw = days.DrawAny
+		}
+		d := draw(seed, c.One, c.Zero)
 		name := filepath.Join(c.Dir, d.Name+".toml")
 		if err := os.WriteFile(name, []byte(d.String()), 0o644); err != nil {
 			return errors.Wrap(err, "write a day")
--- a/internal/linefinder/finder.go
+++ b/internal/linefinder/finder.go
@@ -74,7 +74,7 @@
 func New(life uint64, logger log.Logger) *Finder {
 	f := &Finder{life: life, log: log.With(logger, "part", "linefinder"), store: feed.NewStore(life), started: time.Now(),
 		gone: make(chan struct{}, 1), calls: make(chan struct{}, mostCalls),
-		dial: func(ctx context.Context, addr string) (net.Conn, error) { return trunk.Dial(ctx, addr, dialIn) }}
+		dial: Dial}
 	f.clock = feed.NewClock(func() float64 { return time.Since(f.started).Seconds() })
 	f.seeds.Store(new([]*seed))
 	f.source = &feed.Source{Store: f.store, Clock: f.clock, Ready: f.ready.Load,
@@ -93,6 +93,9 @@
 	return f
 }
 
+// Dial connects to a control node's inner address within a second.
+func Dial(ctx context.Context, addr string) (net.Conn, error) { return trunk.Dial(ctx, addr, dialIn) }
+
 // taking tells whether a proxy takes requests: then the lease counts.
 func (f *Finder) taking() bool {
 	at := f.takes.Load()
--- a/internal/linefinder/run.go
+++ b/internal/linefinder/run.go
@@ -27,8 +27,8 @@
 )
 
 // Run serves with these settings, which are those of the file (see premises.Load), until the process is told to end (SIGTERM or an interrupt), and then as long as a proxy is
-// there, but not over the grace. SIGHUP and a changed file have the settings read anew.
-func Run(path string, p *premises.Premises, logger log.Logger) error {
+// there, but not over the grace. SIGHUP and a changed file have the settings read anew. dial opens connections to control nodes; usually Dial.
+func Run(path string, p *premises.Premises, logger log.Logger, dial func(ctx context.Context, addr string) (net.Conn, error)) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	l, err := listen(p.Loopback())
@@ -37,6 +37,7 @@
 	}
 	defer l.Close()
 	f := New(rand.Uint64()|1, logger)
+	f.dial = dial
 	ctx, cancel := context.WithCancel(context.Background())
 	defer f.all.Wait()
 	defer cancel()
--- /dev/null
+++ b/internal/rehearsed/links/links.go
@@ -0,0 +1,168 @@
+// Package links is what a rehearsal does to the connections that a process opens: a file says which hosts they carry nothing to, or from.
+// A process has it only when it was started for a rehearsal, by a flag that no help shows. What is cut is held and not lost, as by a
+// network that sends again: it arrives once the link is whole, if the connection lives so long.
+package links
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const lookEvery = 20 * time.Millisecond
+
+// Cuts is the hosts that a process is cut off from, by direction.
+type Cuts struct{ To, From map[string]bool }
+
+// Parse reads lines "to HOST", "from HOST" and "both HOST". Empty lines and those that begin with # say nothing.
+func Parse(text string) (Cuts, error) {
+	c := Cuts{map[string]bool{}, map[string]bool{}}
+	n := 0
+	for line := range strings.Lines(text) {
+		n++
+		words := strings.Fields(line)
+		if len(words) == 0 || strings.HasPrefix(words[0], "#") {
+			continue
+		}
+		way := words[0]
+		if len(words) != 2 || way != "to" && way != "from" && way != "both" {
+			return c, fmt.Errorf("line %d: not \"to HOST\", \"from HOST\" or \"both HOST\"", n)
+		}
+		if way != "from" {
+			c.To[words[1]] = true
+		}
+		if way != "to" {
+			c.From[words[1]] = true
+		}
+	}
+	return c, nil
+}
+
+// Links opens connections that obey the file.
+type Links struct{ cuts atomic.Pointer[Cuts] }
+
+// Follow goes by a file, for as long as the process runs. The file is replaced whole; one that cannot be read later on changes nothing.
+func Follow(path string) (*Links, error) {
+	read := func() (Cuts, error) {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return Cuts{}, err
+		}
+		return Parse(string(text))
+	}
+	c, err := read()
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	l := &Links{}
+	l.cuts.Store(&c)
+	go func() {
+		for range time.Tick(lookEvery) {
+			if c, err := read(); err == nil {
+				l.cuts.Store(&c)
+			}
+		}
+	}()
+	return l, nil
+}
+
+// Dialer returns a dialer that obeys the file, over another one; over a nil Links, that one.
+func (l *Links) Dialer(dial func(ctx context.Context, addr string) (net.Conn, error)) func(ctx context.Context, addr string) (net.Conn, error) {
+	if l == nil {
+		return dial
+	}
+	return func(ctx context.Context, addr string) (net.Conn, error) {
+		host, _, err := net.SplitHostPort(addr)
+		if err != nil {
+			return nil, err
+		}
+		for cut := l.cuts.Load(); cut.To[host] || cut.From[host]; cut = l.cuts.Load() {
+			select {
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			case <-time.After(lookEvery):
+			}
+		}
+		nc, err := dial(ctx, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: nc, links: l, host: host, closed: make(chan struct{})}, nil
+	}
+}
+
+// conn is a connection to a host.
+type conn struct {
+	net.Conn
+	links       *Links
+	host        string
+	read, write atomic.Int64 // deadlines, as Unix nanoseconds; 0: none
+	once        sync.Once
+	closed      chan struct{}
+}
+
+// hold waits while the link is cut that way.
+func (c *conn) hold(cut func(*Cuts) bool, deadline *atomic.Int64) error {
+	for cut(c.links.cuts.Load()) {
+		select {
+		case <-c.closed:
+			return net.ErrClosed
+		case <-time.After(lookEvery):
+		}
+		if at := deadline.Load(); at != 0 && time.Now().UnixNano() > at {
+			return os.ErrDeadlineExceeded
+		}
+	}
+	return nil
+}
+
+// Read takes what has come, unless it is held.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if late := c.hold(func(x *Cuts) bool { return x.From[c.host] }, &c.read); late != nil {
+		return 0, errors.Join(late, c.Conn.Close()) // what has come is lost with it
+	}
+	return n, err
+}
+
+// Write sends, once it may.
+func (c *conn) Write(b []byte) (int, error) {
+	if err := c.hold(func(x *Cuts) bool { return x.To[c.host] }, &c.write); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *conn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+func nanos(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixNano()
+}
+
+func (c *conn) SetDeadline(t time.Time) error {
+	c.read.Store(nanos(t))
+	c.write.Store(nanos(t))
+	return c.Conn.SetDeadline(t)
+}
+
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.read.Store(nanos(t))
+	return c.Conn.SetReadDeadline(t)
+}
+
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.write.Store(nanos(t))
+	return c.Conn.SetWriteDeadline(t)
+}
--- a/internal/testboard/days/days.go
+++ b/internal/testboard/days/days.go
@@ -1,5 +1,5 @@
-// Package days draws days of trouble for the core: which of its machines are cut off, killed, emptied or stopped, when, in which of the
-// ways that the bench of the operators knows (`fleetbench kinds`), while the configuration changes. A seed always draws the same day. It does no I/O.
+// Package days draws days of trouble. Draw is for the core: which of its machines are cut off, killed, emptied or stopped, when, in which of the
+// ways that the bench of the operators knows (`fleetbench kinds`), while the configuration changes. DrawAny is for all that may come beside it. A seed always draws the same day. It does no I/O.
 package days
 
 import (
@@ -158,3 +158,101 @@
 	}
 	return b.String()
 }
+
+// DrawAny draws a day from every kind and variant that the bench knows for the contracts of the deployments: between four and seven troubles of
+// servers, edge machines, the core and the callers, which overlap, while the configuration changes, and mostly a closing fault.
+func DrawAny(seed uint64, one, zero float64) Day {
+	d := drawing{rand.New(rand.NewPCG(seed, 11))}
+	day := Day{Name: fmt.Sprintf("any-%02d", seed), Seed: 2000 + seed, One: one, Zero: zero, Plan: d.changes()}
+	for range 2 + d.IntN(3) {
+		day.Faults = append(day.Faults, d.any(d.between(first, last)))
+	}
+	for range 1 + d.IntN(2) {
+		day.Faults = append(day.Faults, d.hard(d.between(first, last)))
+	}
+	for range 1 + d.IntN(2) {
+		day.Plan = append(day.Plan, d.planned(d.between(3, last)))
+	}
+	for _, list := range [][]Trouble{day.Faults, day.Plan} {
+		slices.SortStableFunc(list, func(a, b Trouble) int { return int(1000*a.At) - int(1000*b.At) })
+	}
+	if kind := d.pick("", "power_off_all", "wipe_after_ack", "kill_all"); kind != "" {
+		day.Closing = fmt.Sprintf("{ kind = %q, down_s = %.2f", kind, d.between(0.7, 1.5))
+		if kind == "wipe_after_ack" {
+			day.Closing += fmt.Sprintf(", how = %q", d.pick("", "timed", "taken", "oldest"))
+		}
+		day.Closing += " }"
+	}
+	return day
+}
+
+func (d drawing) share(least, most float64) string {
+	return fmt.Sprintf("share = %.2f", d.between(least, most))
+}
+
+func (d drawing) times(least, most float64) string {
+	return fmt.Sprintf("x = %.2f", d.between(least, most))
+}
+
+// hard is a trouble of the core in the variants that Draw does not know.
+func (d drawing) hard(at Seconds) Trouble {
+	switch d.IntN(8) {
+	case 0, 1:
+		return Trouble{at, "core_cut", []string{"count = 1", d.lasting(4, 20), d.how([]string{"", "leader", "reader", "turn", "oldest"}, silent,
+			[]string{"all", "near", "lure", "all lure"}, after, []string{"", "drain"})}}
+	case 2:
+		return Trouble{at, "replace_core", []string{d.times(0.5, 3), d.how([]string{"", "oldest"}, []string{"", "planned"})}}
+	case 3:
+		return Trouble{at, "after_ack_kill", []string{d.lasting(1, 3), d.how([]string{"taken gone", "timed", "kill taken"})}}
+	case 4:
+		return Trouble{at, "after_ack_wipe", []string{d.lasting(1, 3), d.how([]string{"oldest", "timed"})}}
+	case 5:
+		return Trouble{at, "herd_kill", []string{`on = "core"`, d.lasting(1, 2), d.how([]string{"power taken", "taken all", "power"})}}
+	case 6:
+		return Trouble{at, "disk_full", []string{"count = 1", d.lasting(2, 6)}}
+	}
+	return Trouble{at, "disk_slow", []string{"count = 1", d.times(10, 40), d.lasting(2, 8), d.how([]string{"", "leader"})}}
+}
+
+// any is a trouble of servers, edge machines or callers.
+func (d drawing) any(at Seconds) Trouble {
+	switch d.IntN(20) {
+	case 0:
+		return Trouble{at, "hot_tenant", []string{d.times(5, 9), d.lasting(4, 9), fmt.Sprintf("count = %d", 1+d.IntN(6))}}
+	case 1:
+		return Trouble{at, "burst", []string{d.times(1.5, 2.5), d.lasting(3, 6)}}
+	case 2:
+		return Trouble{at, "retry_abuse", []string{d.share(0.1, 0.4), d.times(1, 3), d.lasting(3, 6)}}
+	case 3:
+		return Trouble{at, "give_up", []string{d.share(0.2, 0.7), d.times(50, 200), d.lasting(3, 8)}}
+	case 4:
+		return Trouble{at, "srv_crash", []string{d.share(0.1, 0.3), d.lasting(3, 6), d.how([]string{"", "dark"}, []string{"", "gone"}, []string{"", "across"})}}
+	case 5:
+		return Trouble{at, "srv_slow", []string{d.share(0.1, 0.3), d.times(3, 6), d.lasting(4, 8)}}
+	case 6:
+		return Trouble{at, "replace_with_reuse", []string{d.share(0.1, 0.2), d.how([]string{"", "drain", "dark"})}}
+	case 7:
+		return Trouble{at, "scale_in", []string{d.share(0.1, 0.2), d.how([]string{"spot"})}}
+	case 8:
+		return Trouble{at, "answer_lost", []string{d.share(0.3, 0.6), d.times(0.02, 0.06), d.lasting(3, 6), d.how([]string{"", "reset"})}}
+	case 9, 10:
+		return Trouble{at, "garble", []string{d.share(0.3, 0.6), d.times(0.02, 0.05), d.lasting(3, 6), d.how([]string{"", "extra", "extra late", "unframed", "early"})}}
+	case 11:
+		return Trouble{at, "node_kill", []string{d.share(0.1, 0.4), d.lasting(2, 5), d.how([]string{"", "power"})}}
+	case 12:
+		return Trouble{at, "node_freeze", []string{d.share(0.1, 0.3), d.lasting(1, 6)}}
+	case 13:
+		return Trouble{at, "node_slow", []string{d.share(0.1, 0.3), d.times(3, 6), d.lasting(3, 6)}}
+	case 14:
+		return Trouble{at, "roll_term", []string{d.share(0.5, 1), fmt.Sprintf("x = %d.0", 1+d.IntN(4)), fmt.Sprintf("gap_s = %.1f", d.between(0.3, 1.5)), d.how([]string{"", "busy", "remove"})}}
+	case 15:
+		return Trouble{at, "herd_kill", []string{d.share(0.3, 0.7), d.lasting(1, 3), d.how([]string{"", "power"})}}
+	case 16:
+		return Trouble{at, "node_cut", []string{d.share(0.1, 0.4), d.lasting(4, 12), d.how([]string{"", "all", "servers"})}}
+	case 17:
+		return Trouble{at, "clock_step", []string{d.share(0.2, 0.5), fmt.Sprintf("x = %.0f.0", d.between(500, 4000)), d.lasting(3, 8), d.how([]string{"", "back", "ahead"})}}
+	case 18:
+		return Trouble{at, "hup", []string{d.share(0.3, 1), fmt.Sprintf("gap_s = %.1f", d.between(0.5, 2))}}
+	}
+	return Trouble{at, "reset_conns", []string{d.share(0.1, 0.5), d.times(0.3, 1), d.how([]string{""})}}
+}
--- a/internal/testboard/days/days_test.go
+++ b/internal/testboard/days/days_test.go
@@ -31,3 +31,20 @@
 		is.True(strings.Contains(all.String(), want)) // a variant that no seed draws
 	}
 }
+
+// The days of any trouble have every kind and variant that Draw lacks.
+func TestDrawAny(t *testing.T) {
+	is := is.New(t)
+	var all strings.Builder
+	for seed := range uint64(400) {
+		d := DrawAny(seed, 0.9, 0.5)
+		is.Equal(d.String(), DrawAny(seed, 0.9, 0.5).String())
+		is.True(len(d.Faults) >= 3 && len(d.Faults) <= 6)
+		all.WriteString(d.String())
+	}
+	for _, want := range []string{"hot_tenant", "burst", "retry_abuse", "give_up", "srv_crash", "srv_slow", "replace_with_reuse", "scale_in", "answer_lost", "garble", "node_kill",
+		"node_freeze", "node_slow", "roll_term", "herd_kill", "node_cut", "clock_step", "hup", "reset_conns", "replace_core", "disk_full", "disk_slow", "lure", "near", "turn",
+		"oldest", "planned", "taken gone", "taken all", "unframed", "early", "extra late", "spot", "servers", "dark", "across"} {
+		is.True(strings.Contains(all.String(), want)) // a variant that no seed draws
+	}
+}
--- a/internal/testboard/floor/faults.go
+++ b/internal/testboard/floor/faults.go
@@ -23,6 +23,7 @@
 
 const (
 	frozenFor = 4 * time.Second
+	cutFor    = 8 * time.Second
 	darkFor   = 3 * time.Second
 	oddFor    = 2 * time.Second // servers answer wrongly
 	hotFor    = 6 * time.Second
@@ -67,7 +68,51 @@
 				f.hold(2 * time.Second)
 			}
 		}},
-		"roll-one":    {"an edge machine gets SIGTERM", func(f *floor, n int) { f.edgeOf(n).roll() }},
+		"roll-one": {"an edge machine gets SIGTERM", func(f *floor, n int) { f.edgeOf(n).roll() }},
+		"cut-core": {"a core node is cut off from the others for 8 s, and asked all along", func(f *floor, n int) {
+			m := f.coreOf(n)
+			m.cutOff(f.otherCore(m), bothWays, cutFor)
+		}},
+		"cut-one-way": {"what a core node sends to the others does not arrive for 8 s", func(f *floor, n int) {
+			m := f.coreOf(n)
+			m.cutOff(f.otherCore(m), outward, cutFor)
+		}},
+		"cut-deaf": {"a core node is sent nothing by the others for 8 s", func(f *floor, n int) {
+			m := f.coreOf(n)
+			m.cutOff(f.otherCore(m), inward, cutFor)
+		}},
+		"cut-all": {"a core node is cut off from the others and from all agents for 8 s; an edge machine is restarted meanwhile", func(f *floor, n int) {
+			m := f.coreOf(n)
+			f.faults.Go(func() {
+				if f.hold(cutFor / 4) {
+					f.edgeOf(n).roll()
+				}
+			})
+			m.cutOff(append(f.otherCore(m), f.edge...), bothWays, cutFor)
+		}},
+		"cut-restart": {"a core node is cut off for 8 s and killed in the midst of it, and then the others are, one after the other", func(f *floor, n int) {
+			m := f.coreOf(n)
+			f.faults.Go(func() {
+				if f.hold(cutFor / 2) {
+					m.crash(m.procs, nil)
+				}
+			})
+			m.cutOff(f.otherCore(m), bothWays, cutFor)
+			for _, o := range f.otherCore(m) {
+				if f.hold(time.Duration(f.o.Bounds.CatchUp * float64(time.Second))) {
+					o.crash(o.procs, nil)
+				}
+			}
+		}},
+		"cut-edge": {"an edge machine is cut off from all core nodes for 3 s", func(f *floor, n int) {
+			m := f.edgeOf(n)
+			over := f.book.trouble(rules.Trouble{Machine: m.name, From: f.now()})
+			heal := f.sever(m, f.core, bothWays)
+			f.hold(darkFor)
+			heal()
+			over(f.now())
+		}},
+		"retire-core": {"a core node goes for good", func(f *floor, n int) { f.coreOf(n).retire() }},
 		"freeze-core": {"a core node stands still for 4 s", func(f *floor, n int) { f.coreOf(n).freeze(frozenFor) }},
 		"crash": {"a server crashes, and another comes", func(f *floor, n int) {
 			if s := f.serverOf(n); s != nil {
@@ -219,6 +264,11 @@
 func (f *floor) edgeOf(n int) *machine { return f.edge[n%len(f.edge)] }
 func (f *floor) coreOf(n int) *machine { return f.core[n%len(f.core)] }
 
+// otherCore is the core nodes but one.
+func (f *floor) otherCore(m *machine) []*machine {
+	return slices.DeleteFunc(slices.Clone(f.core), func(o *machine) bool { return o == m })
+}
+
 func (f *floor) serviceNames() (names []string) {
 	for _, c := range f.classes {
 		names = append(names, c.service)
--- a/internal/testboard/floor/floor.go
+++ b/internal/testboard/floor/floor.go
@@ -4,6 +4,7 @@
 package floor
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -104,6 +105,7 @@
 type floor struct {
 	o        Options
 	launcher *launcher
+	cutting  bool // there are faults that cut links
 	ports    ports
 	core     []*machine
 	edge     []*machine
@@ -200,6 +202,7 @@
 	o.Bin = bin
 	f := &floor{o: o, base: time.Now(), rng: rand.New(rand.NewPCG(o.Seed, 0)), live: map[*class][]*route{}, answers: map[string]int{}}
 	f.book.log.Closing = rules.Never
+	f.cutting = slices.ContainsFunc(o.Faults, func(x Fault) bool { return strings.HasPrefix(x.Name, "cut-") })
 	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 10 * time.Second, DisableCompression: true}
 	defer transport.CloseIdleConnections()
 	f.control = &http.Client{Transport: transport, CheckRedirect: func(_ *http.Request, via []*http.Request) error {
@@ -280,7 +283,7 @@
 				return err
 			}
 		}
-		if err := m.settle(true); err != nil {
+		if err := cmp.Or(m.settle(true), m.layLinks()); err != nil {
 			return err
 		}
 	}
--- a/internal/testboard/floor/machine.go
+++ b/internal/testboard/floor/machine.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,6 +33,7 @@
 	comeBack  = 300 * time.Millisecond // after which a process that ended is started again
 	innerMany = 4                      // inner ports
 	logMost   = 400                    // bytes of a log's end that are shown
+	askEach   = 120 * time.Millisecond // a node that is cut off
 )
 
 // ports are those of the day: the same on all machines.
@@ -45,6 +48,7 @@
 	dir      string
 	procs    []*process
 	settling sync.Mutex // one change of what runs at a time
+	links    []string   // that are cut, under the floor's mu
 }
 
 // process is one program on a machine, over all its lives.
@@ -168,6 +172,56 @@
 	return nil
 }
 
+func (m *machine) linksPath() string { return filepath.Join(m.dir, "links") }
+
+// way is which direction of a link is cut, seen from the machine that is named first.
+type way int
+
+const (
+	bothWays way = iota
+	outward      // what it sends
+	inward       // what it is sent
+)
+
+// sever cuts the links between a machine and others, and returns what makes them whole again. A process obeys for the connections that
+// it opened, so both ends are told.
+func (f *floor) sever(m *machine, others []*machine, w way) (heal func()) {
+	words := func(far *machine, w way) string { return [...]string{"both ", "to ", "from "}[w] + far.ip }
+	back := [...]way{bothWays, inward, outward}[w]
+	set := func(add bool) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, o := range others {
+			for _, end := range []struct {
+				at   *machine
+				line string
+			}{{m, words(o, w)}, {o, words(m, back)}} {
+				if i := slices.Index(end.at.links, end.line); add {
+					end.at.links = append(end.at.links, end.line)
+				} else if i >= 0 {
+					end.at.links = slices.Delete(end.at.links, i, i+1)
+				}
+			}
+		}
+		for _, at := range append([]*machine{m}, others...) {
+			if err := at.layLinks(); err != nil {
+				f.book.note("%s: %v", at.name, err)
+			}
+		}
+	}
+	set(true)
+	return func() { set(false) }
+}
+
+// layLinks writes what a machine's links are.
+func (m *machine) layLinks() error {
+	path := m.linksPath()
+	if err := os.WriteFile(path+".new", []byte(strings.Join(m.links, "\n")+"\n"), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
+
 // launcher starts processes from one thread that lives as long as they: the kernel ends them with it (Pdeathsig), however it dies.
 type launcher struct {
 	calls chan func()
@@ -208,7 +262,11 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command(filepath.Join(p.m.f.o.Bin, p.program), "serve")
+	args := []string{"serve"}
+	if p.m.f.cutting && p.program != proxyProgram {
+		args = append(args, "--links", p.m.linksPath())
+	}
+	cmd := exec.Command(filepath.Join(p.m.f.o.Bin, p.program), args...)
 	cmd.Dir = p.m.dir
 	cmd.Env = []string{"MULLEINROUTER_CONFIG=" + p.m.settingsPath(p.program), "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C",
 		"GORACE=halt_on_error=1"} // for programs that have the race detector in them: a race ends the process
@@ -404,3 +462,71 @@
 	}
 	over(m.f.now())
 }
+
+// cutOff cuts a core node off from others for a while. From some time on it must say nothing as if it were current: it is asked all along, as
+// servers and operators ask, and what it answers is judged. Meanwhile changes are ordered at all nodes.
+func (m *machine) cutOff(others []*machine, w way, span time.Duration) {
+	f := m.f
+	over := f.book.trouble(rules.Trouble{Machine: m.name, Core: true, From: f.now()})
+	heal := f.sever(m, others, w)
+	c := rules.Cut{Machine: m.name, From: f.now()}
+	until := time.Now().Add(span)
+	answers := map[int]int{}
+	for n := 0; time.Now().Before(until); n++ {
+		answers[m.ask(n)]++
+		if n%4 == 0 {
+			f.change(f.classes[f.intn(len(f.classes))])
+		}
+		if !f.hold(askEach) {
+			break
+		}
+	}
+	c.To = f.now()
+	f.book.do(func() { f.book.log.Cuts = append(f.book.log.Cuts, c) })
+	heal()
+	over(f.now())
+	f.book.note("%s, cut off, answered (by status; 0: no acknowledgement): %v", m.name, answers)
+}
+
+// ask asks a core node what it may say only in contact with a majority, each thing in turn, and returns the status; 0: none.
+func (m *machine) ask(n int) int {
+	f := m.f
+	said := rules.Said{Machine: m.name, Began: f.now()}
+	switch n % 4 {
+	case 0:
+		said.What = "configuration read"
+		said.Status, _ = f.operator.call(http.MethodGet, m, nil, callMost)
+	case 1:
+		said.What = "order that stands"
+		i := f.tenants[0].item()
+		f.operator.mu.Lock()
+		if known, ok := f.operator.items[i.key()]; ok {
+			i = known
+		}
+		f.operator.mu.Unlock()
+		said.Status, _ = f.operator.call(http.MethodPatch, m, patch([]item{i}), callMost)
+	case 2:
+		said.What = "order that cannot be read"
+		said.Status, _ = f.operator.call(http.MethodPatch, m, []byte("{"), callMost)
+	case 3:
+		said.What = "beat"
+		if s := f.serverOf(n); s != nil {
+			if _, _, ok := s.call(m.at(f.ports.control), http.MethodPut, "serving"); ok {
+				said.Status = http.StatusOK
+			}
+		}
+	}
+	said.Done = f.now()
+	f.book.do(func() { f.book.log.Said = append(f.book.log.Said, said) })
+	return said.Status
+}
+
+// retire ends what runs on a machine for good.
+func (m *machine) retire() {
+	m.settling.Lock()
+	defer m.settling.Unlock()
+	m.f.book.trouble(rules.Trouble{Machine: m.name, Core: m.core, From: m.f.now()})(m.f.now())
+	for _, p := range m.procs {
+		p.kill()
+	}
+}
--- a/internal/testboard/rules/judge.go
+++ b/internal/testboard/rules/judge.go
@@ -31,6 +31,7 @@
 	j.budget()
 	j.quota()
 	j.denied()
+	j.contact()
 	for _, o := range l.Stuck {
 		j.add("FAULT", o.At, "%s ended by itself: %s", o.Process, o.Text)
 	}
@@ -38,6 +39,21 @@
 	return j.found
 }
 
+// contactFor is how long a core machine may go by an answer of the others (design/worst-days.md, part 1), with half a second for the box.
+const contactFor = 2.0
+
+// contact judges CONTACT, a rule of our own: a core machine without a majority says nothing as if it were current, neither yes nor no.
+func (j *judge) contact() {
+	for _, s := range j.Said {
+		clear := s.Status/100 == 2 || s.Status/100 == 4 && s.Status != 408 && s.Status != 429
+		for _, c := range j.Cuts {
+			if clear && s.Machine == c.Machine && s.Began > c.From+contactFor && s.Done < c.To {
+				j.add("CONTACT", s.Done, "%s, cut off for %.1f s, answered %d: %s", s.Machine, s.Done-c.From, s.Status, s.What)
+			}
+		}
+	}
+}
+
 type judge struct {
 	*Log
 	tries    map[string]*Try
--- a/internal/testboard/rules/log.go
+++ b/internal/testboard/rules/log.go
@@ -28,6 +28,8 @@
 	Reads    []Read
 	Closing  Seconds // when the closing fault began; Never: there was none
 	Stuck    []Own   // processes that ended by themselves
+	Cuts     []Cut
+	Said     []Said
 }
 
 // Ending is how a try ended for its client.
@@ -129,6 +131,19 @@
 	From, To Seconds
 }
 
+// Cut is a time in which a core machine reached no majority of the core.
+type Cut struct {
+	Machine  string
+	From, To Seconds
+}
+
+// Said is what a core machine answered to a call that needs contact with a majority. Status 0: nothing.
+type Said struct {
+	Machine, What string
+	Began, Done   Seconds
+	Status        int
+}
+
 // Life is the start of a process on a machine that takes clients.
 type Life struct {
 	Machine string
--- a/internal/testboard/rules/rules_test.go
+++ b/internal/testboard/rules/rules_test.go
@@ -51,6 +51,19 @@
 		rule  string // the only one that is broken; empty: none
 		spoil func(l *Log)
 	}{
+		{"old configuration handed out", "CONTACT", func(l *Log) {
+			l.Cuts = []Cut{{"c", 5, 13}}
+			l.Said = []Said{{"c", "configuration read", 7.1, 7.2, 200}}
+		}},
+		{"an order refused by who is not sure", "CONTACT", func(l *Log) {
+			l.Cuts = []Cut{{"c", 5, 13}}
+			l.Said = []Said{{"c", "order", 7.1, 7.2, 409}}
+		}},
+		{"neither yes nor no, another machine, before and after", "", func(l *Log) {
+			l.Cuts = []Cut{{"c", 5, 13}}
+			l.Said = []Said{{"c", "order", 7.1, 7.2, 503}, {"c", "order", 7.1, 7.2, 429}, {"c", "order", 7.1, 8.2, 0}, {"d", "order", 7.1, 7.2, 200},
+				{"c", "order", 6.9, 7.0, 200}, {"c", "order", 12.9, 13.1, 200}}
+		}},
 		{"a second run", "TWICE", func(l *Log) { l.Arrivals = append(l.Arrivals, l.Arrivals[1]) }},
 		{"a second run that may be", "", func(l *Log) { l.Arrivals = append(l.Arrivals, l.Arrivals[0]) }},
 		{"refused and run", "REFUSED", func(l *Log) { l.Arrivals[2].Ran = 21 }},
--- a/passhub/admission.go
+++ b/passhub/admission.go
@@ -94,7 +94,7 @@
 		return false
 	}
 	c.level -= c.units(r)
-	return true
+	return g.luck(c, r)
 }
 
 // refuse answers a request that may not have run.
--- a/passhub/gateway.go
+++ b/passhub/gateway.go
@@ -80,14 +80,14 @@
 
 	plannedTill Seconds // requests that come until then are not given up by patience
 
-	odds         odds.Odds
-	silent       int     // counter calls in a row without an answer
-	muted        Seconds // the counter is left alone until then
-	chance       float64 // of a call for a request of a thin customer
-	rights       map[string]*right
-	rated        float64 // chance as it was at the last answer, be it that it turned the call away
-	heard, cutAt Seconds // when that came; when the chance was last cut
-	unheard      int     // calls in a row since then
+	odds               odds.Odds
+	silent             int     // counter calls in a row without an answer
+	muted              Seconds // the counter is left alone until then
+	chance             float64 // of a call for a request of a thin customer
+	rights             map[string]*right
+	rated              float64 // chance as it was at the last answer, be it that it turned the call away
+	heard, cutAt, kept Seconds // when that came; when the chance was last cut; when a keeper answered
+	unheard            int     // calls in a row since then
 }
 
 // New returns a gateway. Equal settings, seed and events give equal actions.
--- a/passhub/keeper.go
+++ b/passhub/keeper.go
@@ -11,12 +11,30 @@
 	storedFor = 1.5  // s beyond that for which its store stays
 	young     = 10.0 // s from its start for which a gateway cannot know what the one before it has spent
 	aimPairs  = 0.88
-	thinLapse = 2.0  // s without an answer: the keeper of a thin customer answers each request
+	thinLapse = 1.0  // s without an answer of any keeper: the keeper of a thin customer answers each request
+	thinStore = 0.5  // of the burst: stores of thin customers, as those who reach the keeper have a burst of their own
+	thinSpare = 12.0 // requests beyond it in all stores together, where these hold less than one each
 	thinAlone = 0.1  // of its even part, for who is cut off
 	thinPairs = 4.0  // requests in a cycle's even share, below which each asks the keeper
+	bucketFor = 3.0  // cycles after which a total says nothing of what ran since
+	brakeOver = 0.5  // cycles' quota by which a bucket is overdrawn at which nothing is let through
 	youngPart = 0.25 // of its part of the burst, which it then begins with
 )
 
+// pairs is what a customer has where counters are pairs.
+type pairs struct {
+	ackedAt Seconds // when a keeper last took a report
+	bucket  bucket  // of a thin customer
+}
+
+// bucket is a token bucket of the whole quota, as one gateway reckons it from the totals that it sees: what all together have let through.
+type bucket struct {
+	at     Seconds // when it last saw a total
+	cycle  int64   // of that
+	sum    float64 // that total
+	tokens float64 // requests; below 0: so many more than the quota and its burst have run
+}
+
 // report adds what was asked here in the cycle that has closed. Every holder reports, also one that was asked little, and also while calls go
 // unanswered: it is one a cycle, and who does not report loses its slice.
 func (g *Gateway) report(c *customer) {
@@ -111,25 +129,84 @@
 }
 
 // heardOf notes that a keeper answered for a thin customer, sure of all others or not.
-func (c *customer) heardOf(now Seconds, e Counted) {
-	if e.Outcome == Done || e.Outcome == Failed && e.Holders > 0 {
-		c.ackedAt = now
+func (g *Gateway) heardOf(c *customer, e Counted) {
+	if answered(e) {
+		c.ackedAt = g.now
+	}
+}
+
+// answered tells whether a keeper was reached, sure of all others or not. An agent that reaches none says Failed too.
+func answered(e Counted) bool { return e.Outcome == Done || e.Outcome == Failed && e.Holders > 0 }
+
+// reached notes that a keeper of pairs answered, whatever it was asked.
+func (g *Gateway) reached(e Counted) {
+	if g.s.Pairs && answered(e) {
+		g.kept = g.now
+	}
+}
+
+// firstAck is when a new customer's reports were last taken, for all that is known: by the answers to others.
+func (g *Gateway) firstAck() Seconds {
+	if g.s.Pairs {
+		return max(g.kept, g.started)
 	}
+	return g.now
 }
 
 // alone is what comes into the store of a thin customer, from which it is decided while the keeper does not answer. Where counters are pairs,
-// those who reach it share the whole quota, so one whose calls go unanswered falls back to a part that is within the slack of the rule.
+// those who reach it share the whole quota, so one that no keeper answers any more falls back to a part that is within the slack of the rule. Where
+// others answer, the customer's keeper is changing hands: then nobody reaches it, and the stores are all there is.
 func (g *Gateway) alone(c *customer) float64 {
-	rate := g.rate(c) * c.share
-	if !g.s.Pairs || g.now-c.ackedAt < thinLapse {
+	rate, heard := g.rate(c)*c.share, max(c.ackedAt, g.kept)
+	if !g.s.Pairs || g.now-heard < thinLapse {
 		return rate
 	}
-	if c.filled-c.ackedAt < thinLapse {
+	if c.filled-heard < thinLapse {
 		c.level *= thinAlone // what was saved up is the others' too
 	}
 	return min(rate, thinAlone*c.quota/c.doors)
 }
 
+// luck lets a request through that the store of a thin customer has room for. A burst is let in by those who reach the keeper, so where no keeper has
+// answered since the request came, the stores of all gateways together stand for a part of one more, or a few requests where a gateway's part
+// is less than one: each lets so much of it through by chance. Where others answered, the customer's keeper is changing hands, as in alone.
+func (g *Gateway) luck(c *customer, r *request) bool {
+	if !g.s.Pairs || !c.thin || g.kept >= r.arrived {
+		return true
+	}
+	whole := max(1, g.s.MaxUnits)
+	most := max(whole, c.plan.Burst*c.share)
+	return g.rng.Float64()*most < max(thinStore*c.plan.Burst*c.share, min(whole, thinSpare*whole/c.doors))
+}
+
+// brake lowers the common ratio where more has run than the quota and its burst. The ratio follows the totals of two cycles and so lags where a rush
+// begins in the middle of one; what ran meanwhile is given back over the next. Each request is decided upon its own total, so between two
+// totals ran what their ratios say: all up to the limit, where it was crossed.
+func (g *Gateway) brake(c *customer, ratio, limit float64, cycle int64, spent Seconds) {
+	if !g.s.Pairs || c.plan.Rate <= 0 {
+		return
+	}
+	b, since, asked, from := &c.bucket, g.now-c.bucket.at, c.sum-c.bucket.sum, c.bucket.sum
+	if cycle != b.cycle { // nobody told how the cycle before ended: as this one begins
+		asked, from = c.sum+c.sum/max(spent, c.period/4)*min(c.period, max(0, since-spent)), 0
+	}
+	ran := asked * (ratio + c.ratio) / 2
+	if ratio == 1 && c.ratio < 1 {
+		whole := min(asked, max(0, limit-from))
+		ran = whole + (asked-whole)*c.ratio
+	}
+	if b.tokens += c.quota*since - ran; since > bucketFor*c.period { // too long ago to tell: by this cycle and the one before
+		before := min(c.R*(c.period+spent)-c.sum, c.plan.Burst+c.quota*c.period)
+		whole := min(c.sum, limit)
+		b.tokens = c.plan.Burst + c.quota*(c.period+spent) - before - whole - (c.sum-whole)*c.ratio
+	}
+	b.tokens = min(c.plan.Burst, b.tokens)
+	b.at, b.cycle, b.sum = g.now, cycle, c.sum
+	if b.tokens < 0 {
+		c.ratio *= max(0, 1+b.tokens/(brakeOver*c.quota*c.period))
+	}
+}
+
 // recent tells whether the last total may stand for the cycle before. Keepers are near: where counters are pairs, one that is older than a cycle
 // is asked for anew, or each gateway whose last word is from before a rush would let another burst in.
 func (g *Gateway) recent(c *customer) bool {
--- a/passhub/quotas.go
+++ b/passhub/quotas.go
@@ -12,9 +12,9 @@
 )
 
 type customer struct {
-	key, tag, suffix  string  // tag: of its terms; suffix: of the names of its counters
-	ackedAt           Seconds // when a keeper last took a report, where counters are pairs
-	hash              uint32  // of its key
+	key, tag, suffix  string // tag: of its terms; suffix: of the names of its counters
+	pairs                    // where counters are pairs
+	hash              uint32 // of its key
 	plan              *Plan
 	doors, quota      float64 // gateways it may use; what slices share: units a second, or attempts open
 	open              int     // attempts out
@@ -55,7 +55,7 @@
 		h := fnv.New32a()
 		h.Write([]byte(e.Customer))
 		c = &customer{key: e.Customer, hash: h.Sum32(), since: g.now, filled: g.now, totalAt: math.Inf(-1)}
-		c.doors, c.ackedAt = float64(max(1, e.Doors)), g.now
+		c.doors, c.ackedAt = float64(max(1, e.Doors)), g.firstAck()
 		g.adopt(c, t)
 		c.validFor = freshCycles * c.period
 		c.slice, c.level = c.quota/c.doors, g.store(c, t) // fill cuts it
@@ -217,6 +217,7 @@
 
 // counted takes a total. What is no sound answer for this cycle leaves the slice frozen.
 func (g *Gateway) counted(e Counted) {
+	g.reached(e)
 	if e.Outcome == Done || e.Outcome == Busy || e.Outcome == Failed {
 		if g.unheard >= muteAfter && g.now-g.heard > lostAfter {
 			g.chance = g.rated // else it took minutes, at few calls, until quotas were watched again
@@ -325,7 +326,7 @@
 // part, so that what is sent on stays pinned to Q. Up to the burst's room, by the last cycle, all is inside.
 func (g *Gateway) told(c *customer, a query, e Counted) {
 	r, Q, T := a.r, g.rate(c), c.period
-	c.heardOf(g.now, e)
+	g.heardOf(c, e)
 	if r.answered {
 		return
 	}
@@ -357,7 +358,7 @@
 			before = min(c.sum/max(spent, T/4), 2*Q) * T // a second call would cost another its only one
 		}
 	}
-	R := (before + c.sum) / (T + spent)
+	R, ratio := (before+c.sum)/(T+spent), c.ratio
 	c.validFor = min(validMost*T, 2*c.validFor)
 	if math.IsInf(c.totalAt, -1) || (R > Q) != (c.R > Q) {
 		c.validFor = T
@@ -372,6 +373,7 @@
 	default:
 		c.ratio = min(1, g.aimed()*Q*spent/c.sum)
 	}
+	g.brake(c, ratio, room+Q*spent, now, spent)
 	// Between two words the ratio lets in no more than its slice and burst (fleet day: 3 quotas for 6 s).
 	quiet := quietShare * Q / c.doors // as r is noise
 	own := (c.r*T+c.demand)/(T+max(0, g.now-c.since)) + quiet
