--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,8 +20,9 @@
 		os.Exit(failed)
 	}
 	cases := map[string]func(root string, r *record, trouble bool) (int, error){
-		"upload": uploadCase,
-		"tenant": tenantCase,
+		"upload":  uploadCase,
+		"tenant":  tenantCase,
+		"bigitem": bigItemCase,
 	}
 	run := cases[os.Args[1]]
 	if run == nil {
