--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,7 @@
 	cases := map[string]func(root string, r *record, trouble bool) (int, error){
 		"upload":  uploadCase,
 		"tenant":  tenantCase,
+		"locks":   locksCase,
 		"bigitem": bigItemCase,
 	}
 	run := cases[os.Args[1]]
