--- a/review/standin/bigitem.go
+++ b/review/standin/bigitem.go
@@ -46,7 +46,7 @@
 	return 0, "no clear answer"
 }
 
-func bigItemCase(root string, r *record, trouble bool) (int, error) {
+func bigItemCase(root string, r *record, fault bool) (int, error) {
 	cl, err := newCluster(root, 3, 3, "base,drain,config,cost,retry,recover,tenants,quota")
 	if err != nil {
 		return failed, err
@@ -67,7 +67,7 @@
 		server := &http.Server{Handler: runs.server(id, r)}
 		defer server.Close()
 		go server.Serve(l)
-		go cl.beat(id, "quotes", cl.edge[n].zone, l.Addr().String(), 3, stop)
+		go cl.heartbeat(id, "quotes", cl.edge[n].zone, l.Addr().String(), 3, stop)
 	}
 	if err := cl.operate(tenantConfiguration()); err != nil {
 		return failed, err
@@ -79,7 +79,7 @@
 		return failed, fmt.Errorf("the small tenant: %d %s", status, text)
 	}
 	time.Sleep(4 * time.Second) // the machines are in touch
-	r.add("the edge machines are ready; trouble: %v", trouble)
+	r.add("the edge machines are ready; fault: %v", fault)
 	front := func(n int) string { return cl.edge[n%len(cl.edge)].addr(cl, portFront) }
 
 	// The large tenant, some keys below the size at which the system refuses it.
@@ -103,7 +103,7 @@
 			}
 		}
 	}
-	for n := 0; n < bigVersions && trouble; n++ {
+	for n := 0; n < bigVersions && fault; n++ {
 		keys = append(keys, key(newKeyBytes))
 		version++
 		status, text := cl.patchOnce(upsertTenant("vori112", bigTenant(keys, version)))
@@ -140,7 +140,7 @@
 	if revoked > 0 {
 		return broken, nil
 	}
-	return held, nil
+	return passed, nil
 }
 
 // restartEdge kills the processes of an edge machine, starts them again and records whether the machine becomes ready.
--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -56,6 +56,10 @@
 func (m *machine) addr(cl *cluster, port int) string { return fmt.Sprintf("%s:%d", m.ip, cl.port+port) }
 
 func newCluster(root string, cores, edges int, clauses string) (*cluster, error) {
+	root, err := filepath.Abs(root)
+	if err != nil {
+		return nil, err
+	}
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
@@ -337,8 +341,8 @@
 	return errors.New("the edge machines are not ready")
 }
 
-// beat registers a server and sends its beats until the channel is closed.
-func (cl *cluster) beat(id, service, zone, address string, capacity int, stop <-chan struct{}) {
+// heartbeat registers a server and sends its beats until the channel is closed.
+func (cl *cluster) heartbeat(id, service, zone, address string, capacity int, stop <-chan struct{}) {
 	seq := 0
 	target := rand.IntN(len(cl.core))
 	for {
--- a/review/standin/locks.go
+++ b/review/standin/locks.go
@@ -40,7 +40,7 @@
 
 // call makes one call at one control node. It returns the status, 0 without an answer, and the time of sending.
 func (c *lockCaller) call(
-	method, addr string, fence uint64, body map[string]any, patience time.Duration,
+	method, addr string, fence uint64, body map[string]any, timeout time.Duration,
 ) (status int, got uint64, sentAt time.Time) {
 	body["owner"] = c.owner
 	if fence != 0 {
@@ -49,7 +49,7 @@
 	text, _ := json.Marshal(body)
 	request, _ := http.NewRequest(method, "http://"+addr+"/locks/"+c.lock, strings.NewReader(string(text)))
 	request.Header.Set("Content-Type", "application/json")
-	client := http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	sentAt = time.Now()
 	answer, err := client.Do(request)
 	if err == nil {
@@ -77,7 +77,7 @@
 	return hold{}, false
 }
 
-func locksCase(root string, r *record, trouble bool) (int, error) {
+func locksCase(root string, r *record, fault bool) (int, error) {
 	cl, err := newCluster(root, 3, 3, "base,drain,config,cost,retry,recover,health,pool,coord,tenants,quota")
 	if err != nil {
 		return failed, err
@@ -93,7 +93,7 @@
 		return failed, err
 	}
 	time.Sleep(3500 * time.Millisecond)
-	r.add("the system is ready; trouble: %v", trouble)
+	r.add("the system is ready; fault: %v", fault)
 	frozen := cl.core[0]
 	first := frozen.addr(cl, portControl)
 	others := []string{cl.core[1].addr(cl, portControl), cl.core[2].addr(cl, portControl)}
@@ -105,11 +105,11 @@
 		callers[n] = &lockCaller{owner: fmt.Sprintf("a%d", n), lock: fmt.Sprintf("l%d", n), r: r}
 		h, ok := callers[n].acquire([]string{first}, lockHold, 5*time.Second)
 		if !ok {
-			return failed, fmt.Errorf("lock %d is not granted before the trouble", n)
+			return failed, fmt.Errorf("lock %d is not granted before the fault", n)
 		}
 		fences[n] = h.fence
 	}
-	if trouble {
+	if fault {
 		frozen.process("control").signal(syscall.SIGSTOP)
 		r.add("%s freezes", frozen.name)
 	}
@@ -150,7 +150,7 @@
 			}
 		})
 	}
-	if trouble {
+	if fault {
 		time.Sleep(time.Until(began.Add(lockFreeze)))
 		frozen.process("control").signal(syscall.SIGCONT)
 		r.add("%s wakes", frozen.name)
@@ -166,5 +166,5 @@
 	case overlaps > 0:
 		return broken, nil
 	}
-	return held, nil
+	return passed, nil
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -1,5 +1,5 @@
 // Command standin runs the cases of the review: it starts a small deployment of the project's own programs, stands in
-// for its clients, servers and operator, and says whether the rule of the case held.
+// for its clients, servers and operator, and says whether the rule of the case passed.
 package main
 
 import (
@@ -9,7 +9,7 @@
 
 // Exit codes of a case.
 const (
-	held   = 0
+	passed = 0
 	broken = 1
 	failed = 2 // the case could not run
 )
@@ -19,7 +19,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin CASE ROOT RECORD")
 		os.Exit(failed)
 	}
-	cases := map[string]func(root string, r *record, trouble bool) (int, error){
+	cases := map[string]func(root string, r *record, fault bool) (int, error){
 		"upload":  uploadCase,
 		"tenant":  tenantCase,
 		"locks":   locksCase,
--- a/review/standin/tenant.go
+++ b/review/standin/tenant.go
@@ -11,7 +11,7 @@
 )
 
 // The case "tenant": the operator drops the only tenant, and requests with its key and with keys that no configuration
-// ever held follow.
+// ever passed follow.
 const (
 	tenantHost     = "hulo84.example"
 	tenantPath     = "/xapu221/"
@@ -86,7 +86,7 @@
 	return id, status
 }
 
-func tenantCase(root string, r *record, trouble bool) (int, error) {
+func tenantCase(root string, r *record, fault bool) (int, error) {
 	cl, err := newCluster(root, 3, 3, "base,drain,config,cost,retry,recover,tenants,quota")
 	if err != nil {
 		return failed, err
@@ -107,7 +107,7 @@
 		server := &http.Server{Handler: runs.server(id, r)}
 		defer server.Close()
 		go server.Serve(l)
-		go cl.beat(id, "quotes", cl.edge[n].zone, l.Addr().String(), 3, stop)
+		go cl.heartbeat(id, "quotes", cl.edge[n].zone, l.Addr().String(), 3, stop)
 	}
 	if err := cl.operate(tenantConfiguration()); err != nil {
 		return failed, err
@@ -116,7 +116,7 @@
 		return failed, err
 	}
 	time.Sleep(3500 * time.Millisecond) // the machines are in touch
-	r.add("the edge machines are ready; trouble: %v", trouble)
+	r.add("the edge machines are ready; fault: %v", fault)
 	front := func(n int) string { return cl.edge[n%len(cl.edge)].addr(cl, portFront) }
 	for n := range cl.edge {
 		if _, status := runs.ask(r, front(n), tenantKey); status != 200 {
@@ -126,7 +126,7 @@
 			return failed, fmt.Errorf("an unknown key gets %d before the change", status)
 		}
 	}
-	if trouble {
+	if fault {
 		drop := map[string]any{"remove": map[string]any{"customers": []any{map[string]any{"name": "yefi830", "generation": "00000002"}}}}
 		if err := cl.operate(drop); err != nil {
 			return failed, err
@@ -144,13 +144,13 @@
 		}
 	}
 	summary := fmt.Sprintf("4 s after the acknowledgement, of %d requests each: run with the tenant's key %d, run with a "+
-		"key that no configuration ever held %d", tenantRequests*len(cl.edge), droppedRun, unknownRun)
+		"key that no configuration ever passed %d", tenantRequests*len(cl.edge), droppedRun, unknownRun)
 	r.add("%s", summary)
 	fmt.Println(summary)
 	if unknownRun > 0 {
 		return broken, nil
 	}
-	return held, nil
+	return passed, nil
 }
 
 func (t *tenantRuns) has(id string) bool {
--- a/review/standin/upload.go
+++ b/review/standin/upload.go
@@ -109,7 +109,7 @@
 	}
 }
 
-// listenWithSmallWindow listens with the segment size of an Ethernet and a small window (DEPLOY: a writer is held up by
+// listenWithSmallWindow listens with the segment size of an Ethernet and a small window (DEPLOY: a writer is passed up by
 // a peer that does not read). The loopback interface has segments of 64 KiB, with which the kernel takes megabytes for
 // a peer that does not read.
 func listenWithSmallWindow(addr string) (net.Listener, error) {
@@ -212,7 +212,7 @@
 	}
 }
 
-func uploadCase(root string, r *record, trouble bool) (int, error) {
+func uploadCase(root string, r *record, fault bool) (int, error) {
 	cl, err := newCluster(root, 3, 3, "base,drain,config,cost,retry,recover,tenants,quota,health,pool")
 	if err != nil {
 		return failed, err
@@ -233,7 +233,7 @@
 		s := &uploadServer{id: fmt.Sprintf("i-%08x", rand.Uint32()), r: r}
 		servers = append(servers, s)
 		go s.serve(l)
-		go cl.beat(s.id, "filing", cl.edge[n%len(cl.edge)].zone, l.Addr().String(), 3, stop)
+		go cl.heartbeat(s.id, "filing", cl.edge[n%len(cl.edge)].zone, l.Addr().String(), 3, stop)
 	}
 	if err := cl.operate(uploadConfiguration()); err != nil {
 		return failed, err
@@ -242,7 +242,7 @@
 		return failed, err
 	}
 	time.Sleep(3500 * time.Millisecond) // the machines are in touch
-	r.add("the edge machines are ready; trouble: %v", trouble)
+	r.add("the edge machines are ready; fault: %v", fault)
 
 	u := &uploadResult{answers: map[string]int{}}
 	if u.buffered, err = measureBuffers(); err != nil {
@@ -253,7 +253,7 @@
 		rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
 		hanging := servers[:uploadHanging]
 		for _, s := range hanging {
-			if s.hanging.Store(trouble); trouble {
+			if s.hanging.Store(fault); fault {
 				r.add("server %s begins to hang %.2f of its requests", s.id, uploadHangShare)
 			}
 		}
@@ -286,5 +286,5 @@
 	case u.never >= 8 && 4*u.never > u.late:
 		return broken, nil
 	}
-	return held, nil
+	return passed, nil
 }
