--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,7 @@
 	cases := map[string]func(root string, r *record, fault bool) (int, error){
 		"upload":  uploadCase,
 		"tenant":  tenantCase,
+		"early":   earlyCase,
 		"locks":   locksCase,
 		"bigitem": bigItemCase,
 	}
