Coordination: a delayed release ends no hold that its owner prolonged later

Cause: a hold that its owner prolongs by POST or PUT keeps its fence, so a release that was sent before that and arrives later names the same hold. Only the order of arrival was looked at.

Change: the leaseholder counts the prolongations of a hold. A release of a hold that was prolonged, or that was loaded at a take-over, takes effect only with a proof that it was sent later: it came over the connection on which the last prolongation was answered, or its caller followed a 307 with the term and the count. A caller that gave up or died follows none.

--- a/internal/cluster/coordination/locks.go
+++ b/internal/cluster/coordination/locks.go
@@ -21,6 +21,9 @@
 	holdMs  uint64  // the longest requested hold, milliseconds; after a take-over the hold lasts this long
 	expires float64 // end of the hold by this leaseholder's clock, in seconds
 	seq     uint64  // number of the batch with the record; 0 means that the record is of an earlier term
+	// prolongations is the number of times that the owner has been answered about the hold after its grant. A hold of an
+	// earlier term begins with 1, because renewals are not recorded.
+	prolongations uint64
 }
 
 func (l *lock) record() []byte { return newRecord().text(l.owner).number(l.fence).number(l.holdMs) }
@@ -28,7 +31,7 @@
 // loadLock reads a lock at the start of a term. The former leaseholder may have renewed it at any time until then, and
 // renewals are not recorded. Therefore the hold lasts for its full time from now.
 func loadLock(r *recordReader, now float64) *lock {
-	l := &lock{owner: r.text(), fence: r.number(), holdMs: r.number()}
+	l := &lock{owner: r.text(), fence: r.number(), holdMs: r.number(), prolongations: 1}
 	if mutants.On("coordination/lock-expires-at-take-over") {
 		return l
 	}
@@ -62,7 +65,7 @@
 	l.extend(now, l.holdMs)
 	t.locks[r.Name] = l
 	return Outcome{
-		Result:       Result{Code: OK, Fence: l.fence},
+		Result:       Result{Code: OK, Fence: l.fence, Hold: t.holdState(l)},
 		Writes:       []shard.Write{{Key: recordKey(prefixLock, r.Name), Value: l.record()}},
 		CommitBefore: next,
 	}
@@ -80,7 +83,8 @@
 // prolong extends a hold. The extension must be replicated only if the new hold is longer than all before, because a
 // take-over extends a hold by its longest recorded time.
 func (t *Tables) prolong(r Request, l *lock, now float64, next uint64) Outcome {
-	out := Outcome{Result: Result{Code: OK, Fence: l.fence}}
+	l.prolongations++
+	out := Outcome{Result: Result{Code: OK, Fence: l.fence, Hold: t.holdState(l)}}
 	holdMs := uint64(r.HoldMs) //nolint:gosec // checked by the caller
 	l.extend(now, holdMs)
 	if holdMs > l.holdMs {
@@ -91,14 +95,27 @@
 	return out
 }
 
+// holdState returns the present state of a hold.
+func (t *Tables) holdState(l *lock) *HoldState {
+	return &HoldState{Term: t.term, Prolongations: l.prolongations}
+}
+
 // release ends the hold that the request names by its owner and fence. A delayed or duplicated call for a hold that has
-// already ended has no effect. But a hold that acquire has prolonged keeps its fence, so a call that was sent before
-// that and arrives late ends the prolonged hold.
-func (t *Tables) release(r Request, next uint64) Outcome {
+// already ended has no effect.
+//
+// A hold keeps its fence when its owner prolongs it, so the fence does not tell whether a release was sent before or
+// after that. A release that was sent before it must have no effect, because the owner has counted itself the holder
+// since. If the hold was prolonged, the release therefore gets Unconfirmed, unless its caller is known to have sent it
+// after the last prolongation. Only a caller that still waits for the answer, and so has not prolonged the hold since,
+// can confirm the release.
+func (t *Tables) release(r Request, now float64, next uint64) Outcome {
 	l := t.locks[r.Name]
 	if l == nil || l.owner != r.Owner || l.fence != r.Fence {
 		return Outcome{Result: Result{Code: OK}}
 	}
+	if now < l.expires && !t.sentAfterProlongations(r, l) {
+		return Outcome{Result: Result{Code: Unconfirmed, Hold: t.holdState(l)}}
+	}
 	delete(t.locks, r.Name)
 	return Outcome{
 		Result:       Result{Code: OK},
@@ -106,3 +123,12 @@
 		CommitBefore: next,
 	}
 }
+
+// sentAfterProlongations reports whether a release was sent after all calls that have prolonged a hold. A hold that was
+// only granted has none: its owner can have learned the fence only from the grant.
+func (t *Tables) sentAfterProlongations(r Request, l *lock) bool {
+	if l.prolongations == 0 || mutants.On("coordination/delayed-release-ends-hold") {
+		return true
+	}
+	return r.SentAfter != nil && *r.SentAfter == *t.holdState(l)
+}
--- a/internal/cluster/coordination/mutants_test.go
+++ b/internal/cluster/coordination/mutants_test.go
@@ -18,6 +18,7 @@
 	for _, fault := range []string{
 		"lock-expires-at-take-over", "fence-from-memory", "number-before-commit", "history-cut-at-take-over",
 		"puts-forgotten-at-take-over", "reads-uncommitted", "watches-uncommitted",
+		"delayed-release-ends-hold",
 	} {
 		mutants.Seed(t, "coordination/"+fault)
 		found := failures(0)
--- a/internal/cluster/coordination/request.go
+++ b/internal/cluster/coordination/request.go
@@ -42,6 +42,16 @@
 	// After is the revision after which a watch begins. With 0 the watch only returns the present revision.
 	After  uint64 `cbor:"8,keyasint,omitempty"`
 	WaitMs int64  `cbor:"9,keyasint,omitempty"` // time for which a watch waits for an event, milliseconds
+	// SentAfter is the latest state of the hold that the caller is known to have been answered about before it sent a
+	// release. nil means that no state is known.
+	SentAfter *HoldState `cbor:"10,keyasint,omitempty"`
+}
+
+// HoldState identifies the calls that have prolonged a hold so far, in the term of one leaseholder. A later prolongation
+// and a later term give it another value.
+type HoldState struct {
+	Term          uint64 `cbor:"1,keyasint"` // term of the leaseholder
+	Prolongations uint64 `cbor:"2,keyasint"` // calls of the owner after the grant that have prolonged the hold
 }
 
 // ReadOnly reports whether a request changes nothing. Such a request has had no effect, even if its answer is lost.
@@ -79,6 +89,9 @@
 	Compacted   Code = 5 // events after the requested revision have been removed
 	TooMany     Code = 6 // the shard has too many records or bytes of values; the request had no effect
 	TooManyOpen Code = 7 // too many calls are in flight; the request had no effect
+	// Unconfirmed means that a release had no effect, because it may have been sent before the last call that prolonged
+	// the hold. A caller that still waits for the answer repeats it with the HoldState of the result as SentAfter.
+	Unconfirmed Code = 8
 )
 
 // Event is a put, as a watch reports it.
@@ -96,6 +109,8 @@
 	Revision uint64  `cbor:"4,keyasint,omitempty"` // of the cell; for a watch, the revision up to which it is complete
 	Value    string  `cbor:"5,keyasint,omitempty"`
 	Events   []Event `cbor:"6,keyasint,omitempty"` // in order of their revisions
+	// Hold is the state of the hold after a call that has granted or prolonged it, and with Unconfirmed.
+	Hold *HoldState `cbor:"7,keyasint,omitempty"`
 }
 
 // Outcome is what the caller of Evaluate must do with a request.
--- a/internal/cluster/coordination/tables.go
+++ b/internal/cluster/coordination/tables.go
@@ -18,6 +18,7 @@
 
 // Tables are the records of a shard at its leaseholder, for the duration of a term.
 type Tables struct {
+	term      uint64  // term of the leaseholder
 	retention float64 // time for which events are kept, seconds
 	locks     map[string]*lock
 	numbers   map[string]*number
@@ -28,8 +29,9 @@
 
 // Load reads the records at the start of a term, when earlier leaseholders no longer answer requests. History is how
 // long a watch may rely on events, in seconds. The error wraps ErrRecord.
-func Load(records map[string][]byte, now, history float64) (*Tables, error) {
+func Load(records map[string][]byte, term uint64, now, history float64) (*Tables, error) {
 	t := &Tables{
+		term:      term,
 		retention: history + retentionMargin,
 		locks:     map[string]*lock{},
 		numbers:   map[string]*number{},
@@ -87,7 +89,7 @@
 	case RenewLock:
 		return t.renew(r, now, next)
 	case ReleaseLock:
-		return t.release(r, next)
+		return t.release(r, now, next)
 	case NextNumber:
 		return t.nextNumber(r, next)
 	case PutCell:
--- a/internal/cluster/coordination/tables_test.go
+++ b/internal/cluster/coordination/tables_test.go
@@ -37,7 +37,7 @@
 
 // takeOver begins another term with the present records.
 func (l *leaseholder) takeOver() {
-	tables, err := Load(l.records, l.now, history)
+	tables, err := Load(l.records, l.seq, l.now, history)
 	if err != nil {
 		l.t.Errorf("load: %v", err)
 	}
@@ -95,6 +95,12 @@
 	return Request{Kind: ReleaseLock, Name: "l", Owner: owner, Fence: fence}
 }
 
+// inState is a result with the state of the hold after a number of prolongations in the present term.
+func (l *leaseholder) inState(r Result, prolongations uint64) Result {
+	r.Hold = &HoldState{Term: l.tables.term, Prolongations: prolongations}
+	return r
+}
+
 func putValue(name, value string) Request { return Request{Kind: PutCell, Name: name, Value: value} }
 
 func watch(after uint64) Request { return Request{Kind: Watch, Name: "g.", After: after} }
@@ -104,10 +110,10 @@
 	"one holder at a time": func(l *leaseholder) {
 		first := l.evaluate(acquire("a", 3000))
 		l.expect("another", acquire("b", 3000), Result{Code: Conflict})
-		l.expect("the holder again", acquire("a", 3000), first)
+		l.expect("the holder again", acquire("a", 3000), l.inState(first, 1))
 		l.expect("renewal under another fence", renew(first.Fence+1, 3000), Result{Code: Conflict})
 		l.now += 2
-		l.expect("renewal", renew(first.Fence, 3000), first)
+		l.expect("renewal", renew(first.Fence, 3000), l.inState(first, 2))
 		l.now += 2.9
 		l.expect("another, within the renewed time", acquire("b", 3000), Result{Code: Conflict})
 		l.now += 0.5
@@ -129,11 +135,11 @@
 	"a hold outlives a take-over": func(l *leaseholder) {
 		first := l.evaluate(acquire("a", 3000))
 		l.now += 2.9
-		l.expect("renewal from memory", renew(first.Fence, 3000), first)
+		l.expect("renewal from memory", renew(first.Fence, 3000), l.inState(first, 1))
 		l.takeOver()
 		l.now += 2.9
 		l.expect("another", acquire("b", 3000), Result{Code: Conflict})
-		l.expect("the holder", acquire("a", 1000), first)
+		l.expect("the holder", acquire("a", 1000), l.inState(first, 2))
 		l.now += 5
 		l.upkeep()
 		l.takeOver()
@@ -141,6 +147,38 @@
 			l.t.Errorf("a hold that ended exists again after a take-over: got %+v, first %+v", second, first)
 		}
 	},
+	"a release that was sent before the last prolongation has no effect": func(l *leaseholder) {
+		prolong := map[string]func(fence uint64){
+			"POST":      func(uint64) { l.evaluate(acquire("a", 3000)) },
+			"PUT":       func(fence uint64) { l.evaluate(renew(fence, 3000)) },
+			"take-over": func(uint64) { l.takeOver() }, // the former leaseholder may have answered a renewal
+		}
+		for call, again := range prolong {
+			first := l.evaluate(acquire("a", 3000))
+			again(first.Fence)
+			delayed := release("a", first.Fence)
+			unconfirmed := l.inState(Result{Code: Unconfirmed}, 1)
+			l.expect("delayed until after a "+call, delayed, unconfirmed)
+			l.expect("another, after a "+call, acquire("b", 3000), Result{Code: Conflict})
+			delayed.SentAfter = unconfirmed.Hold
+			again(first.Fence)
+			if got := l.evaluate(delayed); got.Code != Unconfirmed {
+				l.t.Errorf("confirmed, and delayed until after another %s: got %+v, want Unconfirmed", call, got)
+			}
+			confirmed := release("a", first.Fence)
+			confirmed.SentAfter = l.evaluate(confirmed).Hold
+			l.expect("confirmed after a "+call, confirmed, Result{Code: OK})
+		}
+	},
+	"a release of a hold that was only granted needs no confirmation": func(l *leaseholder) {
+		first := l.evaluate(acquire("a", 3000))
+		l.expect("at once", release("a", first.Fence), Result{Code: OK})
+		second := l.evaluate(acquire("b", 3000))
+		l.expect("repeated", release("a", first.Fence), Result{Code: OK})
+		l.evaluate(acquire("b", 3000))
+		l.now += 4
+		l.expect("after the end of the hold", release("b", second.Fence), Result{Code: OK})
+	},
 	"a longer hold is replicated": func(l *leaseholder) {
 		first := l.evaluate(acquire("a", 1000))
 		if out := l.propose(renew(first.Fence, 9000)); out.CommitBefore != l.seq || len(out.Writes) == 0 {
@@ -270,12 +308,12 @@
 			value[i] = byte(rnd.IntN(256))
 		}
 		key := string("lncgex"[rnd.IntN(6)]) + string(value[:min(len(value), rnd.IntN(12))])
-		_, err := Load(map[string][]byte{key: value}, 0, history)
+		_, err := Load(map[string][]byte{key: value}, 1, 0, history)
 		if err != nil && !errors.Is(err, ErrRecord) {
 			t.Fatalf("%q = %x: %v", key, value, err)
 		}
 	}
-	if _, err := Load(map[string][]byte{"la": {2, 1, 'a'}}, 0, history); !errors.Is(err, ErrRecord) {
+	if _, err := Load(map[string][]byte{"la": {2, 1, 'a'}}, 1, 0, history); !errors.Is(err, ErrRecord) {
 		t.Errorf("record of a later version: got %v, want ErrRecord", err)
 	}
 }
--- a/internal/cluster/transport/golden_test.go
+++ b/internal/cluster/transport/golden_test.go
@@ -96,6 +96,17 @@
 			{},
 		}}}},
 		{"bare coordination", &Frame{Coordination: &Coordination{}}},
+		{"confirmed release", &Frame{Coordination: &Coordination{Calls: []CoordinationCall{{
+			ID: 2, Request: coordination.Request{
+				Kind: coordination.ReleaseLock, Name: "l", Owner: "a.1", Fence: 41,
+				SentAfter: &coordination.HoldState{Term: 7, Prolongations: 3},
+			},
+		}}}}},
+		{"unconfirmed release", &Frame{Coordination: &Coordination{Replies: []CoordinationReply{{
+			ID: 2, Status: CoordinationAnswered, Result: coordination.Result{
+				Code: coordination.Unconfirmed, Hold: &coordination.HoldState{Term: 7, Prolongations: 3},
+			},
+		}}}}},
 	}
 }
 
--- a/internal/control/coordination_histories_test.go
+++ b/internal/control/coordination_histories_test.go
@@ -61,24 +61,28 @@
 	return a.rnd.IntN(n)
 }
 
-// node returns a random node for an application to call.
-func (a *applications) node() *testNode {
-	addr := a.seeds[a.random(len(a.seeds))]
-	a.testCluster.mu.Lock()
-	defer a.testCluster.mu.Unlock()
-	return a.nodes[addr]
-}
-
 // send sends a call to a random node and returns its answer. The status is 0 if no answer arrived within the timeout.
 func (a *applications) send(method, path, body string, timeout time.Duration) (status int, text string) {
-	node := a.node()
-	a.links.pauses.await(node.addr)
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
+	return followRedirects(a.seeds[a.random(len(a.seeds))], path, func(addr, path string) (int, string, string) {
+		return a.sendTo(ctx, addr, method, path, body)
+	})
+}
+
+// sendTo sends a call to a node and returns its answer, with the address of a redirect. The node reads the call after
+// its present pause, even if the caller has given up by then.
+func (a *applications) sendTo(ctx context.Context, addr, method, path, body string) (
+	status int, text, location string,
+) {
+	a.testCluster.mu.Lock()
+	node := a.nodes[addr]
+	a.testCluster.mu.Unlock()
 	answered := make(chan *httptest.ResponseRecorder, 1)
 	go func() {
+		a.links.pauses.await(node.addr)
 		w := httptest.NewRecorder()
-		r := httptest.NewRequestWithContext(ctx, method, path, strings.NewReader(body))
+		r := httptest.NewRequestWithContext(context.WithoutCancel(ctx), method, path, strings.NewReader(body))
 		node.api.HTTPServer().Handler.ServeHTTP(w, r)
 		a.links.pauses.await(node.addr)
 		answered <- w
@@ -88,11 +92,11 @@
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		if !a.crashed[node] {
-			return w.Code, w.Body.String()
+			return w.Code, w.Body.String(), w.Header().Get("Location")
 		}
 	case <-ctx.Done():
 	}
-	return 0, ""
+	return 0, "", ""
 }
 
 // injectFault causes a fault of the given kind, and waits until it is over.
--- a/internal/control/coordination_release_test.go
+++ b/internal/control/coordination_release_test.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"context"
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -37,3 +39,85 @@
 		}
 	})
 }
+
+// releaseScenario is an order of events around a release that waits in a frozen node. Its owner prolongs the hold at
+// another node, and counts itself the holder since.
+type releaseScenario struct {
+	frozen  int           // index of the frozen node among those of delayedReleases
+	freeze  time.Duration // how long the node is frozen
+	prolong string        // method of the call that prolongs the hold
+	before  time.Duration // time from the release, after which the owner gives it up or dies, to that call
+}
+
+// Guards against a release that a frozen node keeps and that ends a later hold, whatever node is frozen, for however
+// long, and by whatever call the owner prolongs the hold. A release that is sent afterwards frees the lock at once.
+func TestReleaseKeptByFrozenNode(t *testing.T) {
+	for frozen := range 3 {
+		for _, freeze := range []time.Duration{100, 400, 900, 1600, 2500, 5000, 12000} {
+			for _, prolong := range []string{"POST", "PUT"} {
+				for _, before := range []time.Duration{20 * time.Millisecond, time.Second} {
+					s := releaseScenario{frozen, freeze * time.Millisecond, prolong, before}
+					t.Run(fmt.Sprint(s.frozen, s.freeze, s.prolong, s.before), func(t *testing.T) {
+						t.Parallel()
+						synctest.Test(t, s.run)
+					})
+				}
+			}
+		}
+	}
+}
+
+func (s releaseScenario) run(t *testing.T) {
+	a := newApplications(t, 1)
+	defer a.stopAll()
+	advance(3 * time.Second)
+	nodes := slices.Clone(a.seeds)
+	leaseholder := slices.Index(nodes, leaseholderOfLockL(a.testCluster))
+	nodes[0], nodes[leaseholder] = nodes[leaseholder], nodes[0] // index 0 is the leaseholder
+	frozen, other := nodes[s.frozen], nodes[(s.frozen+1)%len(nodes)]
+	callFor := func(timeout time.Duration, addr, method, body string) (status int, text string) {
+		ctx, cancel := context.WithTimeout(t.Context(), timeout)
+		defer cancel()
+		return followRedirects(addr, "/locks/l", func(addr, path string) (int, string, string) {
+			return a.sendTo(ctx, addr, method, path, body)
+		})
+	}
+	call := func(addr, method, body string) (status int, text string) {
+		return callFor(time.Second, addr, method, body)
+	}
+	const hold = 30 * time.Second
+	acquisition := fmt.Sprintf(`{"owner":"a","holdMs":%d}`, hold.Milliseconds())
+	status, granted := call(frozen, "POST", acquisition)
+	a.Equal(status, 200)
+	release := strings.TrimSuffix(granted, "}") + `,"owner":"a"}`
+	a.mu.Lock()
+	a.pausing[frozen] = time.Now().Add(s.freeze)
+	a.mu.Unlock()
+	advance(time.Millisecond)
+	callFor(s.before, frozen, "DELETE", release)
+	advance(time.Millisecond)
+	body := acquisition
+	if s.prolong == "PUT" {
+		body = strings.TrimSuffix(granted, "}") + fmt.Sprintf(`,"owner":"a","holdMs":%d}`, hold.Milliseconds())
+	}
+	for status = 0; status != 200 && status != 409; advance(50 * time.Millisecond) {
+		status, granted = call(other, s.prolong, body)
+	}
+	advance(s.freeze + 5*time.Second)
+	if status == 409 { // the release came first, and the owner does not count itself the holder
+		return
+	}
+	rival := `{"owner":"b","holdMs":4000}`
+	if status, text := call(other, "POST", rival); status != 409 {
+		t.Fatalf("b requests the lock during the hold of a: got %d %s, want 409", status, text)
+	}
+	if s.prolong == "POST" {
+		release = strings.TrimSuffix(granted, "}") + `,"owner":"a"}`
+	}
+	if status, text := call(frozen, "DELETE", release); status != 200 {
+		t.Errorf("release after the last prolongation: got %d %s, want 200", status, text)
+	}
+	if status, text := call(other, "POST", rival); status != 200 {
+		t.Errorf("b requests the lock after its release: got %d %s, want 200", status, text)
+	}
+}
--- a/internal/control/httpapi/applications.go
+++ b/internal/control/httpapi/applications.go
@@ -1,6 +1,7 @@
 package httpapi
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -73,7 +74,8 @@
 	return s.lockCall(r, body, coordination.ReleaseLock)
 }
 
-// lockCall parses and checks the body of a call on a lock, and passes the request to coordinate.
+// lockCall parses and checks the body of a call on a lock, and passes the request to coordinate. A release that the
+// leaseholder asks to confirm is redirected (see confirmRelease).
 func (s *Server) lockCall(r *http.Request, body []byte, kind coordination.Kind) (reply, error) {
 	var b lockBody
 	if json.Unmarshal(body, &b) != nil {
@@ -86,7 +88,23 @@
 	if kind != coordination.ReleaseLock && (b.HoldMs <= 0 || b.HoldMs > coordination.MaxHoldMs) {
 		return reply{}, badRequest("holdMs: out of bounds")
 	}
-	return s.coordinate(r, request)
+	if kind == coordination.ReleaseLock {
+		var err error
+		if request.SentAfter, err = releaseSentAfter(r, request.Fence); err != nil {
+			return reply{}, err
+		}
+	}
+	result, err := s.evaluate(r, request)
+	if err != nil {
+		return reply{}, err
+	}
+	if result.Code == coordination.Unconfirmed && result.Hold != nil {
+		return s.confirmRelease(r, *result.Hold), nil
+	}
+	if result.Code == coordination.OK && result.Hold != nil {
+		rememberHold(r, cmp.Or(result.Fence, request.Fence), *result.Hold)
+	}
+	return resultReply(kind, result)
 }
 
 func (s *Server) nextNumber(r *http.Request, _ []byte) (reply, error) {
@@ -127,21 +145,30 @@
 	return s.coordinate(r, request)
 }
 
-// coordinate evaluates a request at the shard's leaseholder. It takes the name of the lock, number, cell or group from
-// the path.
+// coordinate evaluates a request, and returns the answer for its result.
 func (s *Server) coordinate(r *http.Request, request coordination.Request) (reply, error) {
+	result, err := s.evaluate(r, request)
+	if err != nil {
+		return reply{}, err
+	}
+	return resultReply(request.Kind, result)
+}
+
+// evaluate evaluates a request at the shard's leaseholder. It takes the name of the lock, number, cell or group from
+// the path.
+func (s *Server) evaluate(r *http.Request, request coordination.Request) (coordination.Result, error) {
 	request.Name = r.PathValue("id")
 	if request.Name == "" || len(request.Name) > coordination.MaxNameBytes || !utf8.ValidString(request.Name) {
-		return reply{}, badRequest("no proper name")
+		return coordination.Result{}, badRequest("no proper name")
 	}
 	result, err := s.options.Coordination.Do(r.Context(), request)
 	switch {
 	case errors.Is(err, shards.ErrUnknownOutcome):
-		return reply{}, &Error{http.StatusGatewayTimeout, err.Error()}
+		return result, &Error{http.StatusGatewayTimeout, err.Error()}
 	case err != nil:
-		return reply{}, &Error{http.StatusServiceUnavailable, err.Error()}
+		return result, &Error{http.StatusServiceUnavailable, err.Error()}
 	}
-	return resultReply(request.Kind, result)
+	return result, nil
 }
 
 // resultReply is the answer for a result.
@@ -191,5 +218,5 @@
 	if err != nil {
 		return reply{}, &Error{http.StatusInternalServerError, err.Error()}
 	}
-	return reply{status, text}, nil
+	return reply{status: status, body: text}, nil
 }
--- a/internal/control/httpapi/config.go
+++ b/internal/control/httpapi/config.go
@@ -39,5 +39,5 @@
 		return reply{}, err
 	}
 	_, snapshot := s.options.Replica.Snapshot()
-	return reply{http.StatusOK, snapshot.RenderJSON()}, nil
+	return reply{status: http.StatusOK, body: snapshot.RenderJSON()}, nil
 }
--- a/internal/control/httpapi/errors.go
+++ b/internal/control/httpapi/errors.go
@@ -83,11 +83,12 @@
 
 // reply is the answer to a call. The body is JSON.
 type reply struct {
-	status int
-	body   []byte
+	status   int
+	body     []byte
+	location string // URL to which the caller is redirected; empty without a redirect
 }
 
-var okReply = reply{http.StatusOK, []byte("{}")}
+var okReply = reply{status: http.StatusOK, body: []byte("{}")}
 
 // errorReply is the answer to a call that failed.
 func errorReply(err error) reply {
@@ -95,7 +96,7 @@
 	if encodingErr != nil {
 		panic(encodingErr) // a string can always be encoded
 	}
-	return reply{statusOf(err), body}
+	return reply{status: statusOf(err), body: body}
 }
 
 // jsonReply is an answer with status 200 and an indented body.
@@ -104,5 +105,5 @@
 	if err != nil {
 		return reply{}, &Error{http.StatusInternalServerError, err.Error()}
 	}
-	return reply{http.StatusOK, text}, nil
+	return reply{status: http.StatusOK, body: text}, nil
 }
--- a/internal/control/httpapi/server.go
+++ b/internal/control/httpapi/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	stdlog "log"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -142,11 +143,16 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         s.options.Connections.ConnState,
-		ConnContext:       s.options.Connections.ConnContext,
+		ConnContext:       s.connContext,
 		ErrorLog:          stdlog.New(serverLog{s.log}, "", 0),
 	}
 }
 
+// connContext adds to the context of a connection what its calls share.
+func (s *Server) connContext(ctx context.Context, nc net.Conn) context.Context {
+	return withRememberedHold(s.options.Connections.ConnContext(ctx, nc))
+}
+
 // serverLog is the destination of the http.Server's log. The adapter of the logging library is not used, because it
 // takes a part of a line that ends with a port for a file name.
 type serverLog struct{ log log.Logger }
@@ -170,6 +176,9 @@
 			h := w.Header()
 			h.Set("Content-Type", "application/json")
 			h.Set("Content-Length", strconv.Itoa(len(answer.body)))
+			if answer.location != "" {
+				h.Set("Location", answer.location)
+			}
 			w.WriteHeader(answer.status)
 			_, _ = w.Write(answer.body) // a caller that does not get the answer retries
 		})
--- a/internal/control/shards/host.go
+++ b/internal/control/shards/host.go
@@ -148,7 +148,7 @@
 // load loads the tables. If a record can't be read, this node answers no calls of the shard although it holds the
 // lease, and updateTerm tries again.
 func (h *host) load(term uint64, now float64) {
-	tables, err := coordination.Load(h.replica.Records(), now, h.service.options.History)
+	tables, err := coordination.Load(h.replica.Records(), term, now, h.service.options.History)
 	if err != nil {
 		level.Error(h.service.log).Log("msg", "records of a shard can't be read", "shard", h.number, "err", err)
 		return
--- a/internal/control/shards/status.go
+++ b/internal/control/shards/status.go
@@ -121,6 +121,7 @@
 	coordination.Conflict:    "conflict",
 	coordination.NotFound:    "not_found",
 	coordination.Mismatch:    "mismatch",
+	coordination.Unconfirmed: "unconfirmed",
 	coordination.Compacted:   "compacted",
 	coordination.TooMany:     "too_many_records",
 	coordination.TooManyOpen: "too_many_calls",
