Ingress: an upload aborted with its last bytes still awaits the next request

What clients saw: a connection that ended without an answer, although the whole body had arrived.

Cause: an early answer or the end of the server's connection aborts the upload by a read deadline in the past. If that came after the last bytes had been read and before the upload was marked as complete, the deadline stayed, and watchClient took it for the client's disconnection.

Change: Uploaded undoes such an abort before it hands the connection over.

Evidence: TestUploadAbortedWithItsLastBytes failed before ("i/o timeout").

--- a/internal/dataplane/ingress/upload.go
+++ b/internal/dataplane/ingress/upload.go
@@ -136,11 +136,21 @@
 // may now send its next request or disconnect.
 func (u *upload) Uploaded() {
 	u.conn.readingBody = false
+	u.resumeReads()
 	u.conn.enter(clientconn.Deciding)
 	u.ticket.BodyUploaded()
 	u.conn.watch <- u.ticket
 }
 
+// resumeReads undoes an Abort that came at the moment in which the last bytes of the body were read.
+func (u *upload) resumeReads() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.aborted {
+		u.conn.SetReadDeadline(time.Time{})
+	}
+}
+
 // Abort interrupts the current Read and makes later ones fail.
 func (u *upload) Abort() {
 	u.mu.Lock()
