Proxy: an incomplete request may have run once its head has been written

Cause: an attempt that failed before the last byte of its request was written counted as proof that nothing ran. That is the contract of the servers of the ingress in service.

Change: upstream.Dialect.ExecutesFromHead. Such a server gets the head's last byte only after the pause in which a dropped connection would be reset. From then on, an attempt that ends without an answer may have run, as after the last byte. An early answer that breaks off or is malformed proves nothing in any dialect.

--- a/internal/dataplane/upstream/answer.go
+++ b/internal/dataplane/upstream/answer.go
@@ -18,7 +18,8 @@
 }
 
 // read reads the answer to a request, with its body unless that is streamed. It skips answers to other requests
-// (Foreign) as long as the connection's state machine allows it.
+// (Foreign) as long as the connection's state machine allows it. With an error, the result has the head of the answer
+// that could not be read completely or is malformed, if its head was read.
 func (p *Pool) read(c *conn, m *Message) (answer, error) {
 	for {
 		head, err := c.reader.Response(m.Method == "HEAD")
@@ -31,13 +32,13 @@
 			return a, nil
 		}
 		if a.body, err = c.reader.Body(head); err != nil {
-			return answer{}, err
+			return a, err
 		}
 		switch {
 		case meaning == Foreign && c.ForeignAnswer():
 			continue
 		case meaning == Foreign, meaning == Broken:
-			return answer{}, errMalformedAnswer
+			return a, errMalformedAnswer
 		}
 		a.TrailingBytes = c.reader.Buffered() > 0
 		return a, nil
--- a/internal/dataplane/upstream/attempt.go
+++ b/internal/dataplane/upstream/attempt.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"errors"
@@ -13,6 +14,9 @@
 	"mulleinrouter/internal/decision"
 )
 
+// headEnd ends the head of a request.
+var headEnd = []byte("\r\n\r\n")
+
 // attemptEnd is how a request ended on one connection.
 type attemptEnd struct {
 	verdict upstreamconn.Verdict
@@ -81,6 +85,7 @@
 	buf := requestBuffers.Get().(*[]byte)
 	defer requestBuffers.Put(buf)
 	*buf = p.appendRequest((*buf)[:0], m, c.backend, left)
+	c.headLeft = bytes.Index(*buf, headEnd) + len(headEnd)
 	var end attemptEnd
 	var written bool
 	if m.Upload != nil {
@@ -110,15 +115,11 @@
 		return attemptEnd{}, true
 	}
 	if answered {
-		if end, ok := p.earlyAnswer(c, m, err); ok {
+		if end, ok := p.earlyAnswer(ctx, c, m, err); ok {
 			return end, false
 		}
 	}
-	failure := failureUploading(ctx, err)
-	if failure == upstreamconn.ConnectionLost {
-		p.recordLoss(c)
-	}
-	return attemptEnd{verdict: c.FailedWriting(failure), err: err}, false
+	return p.failedWriting(c, failureUploading(ctx, err), err), false
 }
 
 // sendBuffered sends a request that is complete in memory. If written is false, the attempt has ended with the returned
@@ -128,34 +129,56 @@
 	if complete {
 		return attemptEnd{}, true
 	}
-	if errors.Is(err, errEarlyAnswer) {
-		if end, ok := p.earlyAnswer(c, m, err); ok {
+	if errors.Is(err, errEarlyAnswer) || p.executesIncomplete(c) && ctx.Err() == nil {
+		if end, ok := p.earlyAnswer(ctx, c, m, err); ok {
 			return end, false
 		}
 	}
 	failure := upstreamconn.ConnectionLost
 	if ctx.Err() != nil || errors.Is(err, errDraining) {
-		failure = upstreamconn.Cancelled // nothing was executed, and the server did not fail
-	} else {
+		failure = upstreamconn.Cancelled // the server did not fail
+	}
+	return p.failedWriting(c, failure, err), false
+}
+
+// failedWriting ends an attempt whose request was not written completely.
+func (p *Pool) failedWriting(c *conn, failure upstreamconn.Failure, err error) attemptEnd {
+	if failure == upstreamconn.ConnectionLost {
 		p.recordLoss(c)
 	}
-	return attemptEnd{verdict: c.FailedWriting(failure), err: err}, false
+	if p.executesIncomplete(c) {
+		c.MayExecute()
+	}
+	return attemptEnd{verdict: c.FailedWriting(failure), err: err}
 }
 
+// executesIncomplete reports whether the server may execute the current request although it has not been written
+// completely.
+func (p *Pool) executesIncomplete(c *conn) bool { return p.Dialect.ExecutesFromHead && c.headLeft == 0 }
+
 // earlyAnswer reads an answer that began to arrive before the request was written completely. The argument cause is why
-// the write ended. If ok is false, what arrived is not an answer to this request. On a connection that was used before,
+// the write ended. If ok is false, what arrived does not answer this request: on a connection that was used before,
 // bytes of an earlier answer may arrive while a part of the request is held back. There, an answer is accepted only if
-// it has the request's ID.
-func (p *Pool) earlyAnswer(c *conn, m *Message, cause error) (end attemptEnd, ok bool) {
+// it has the request's ID. An answer that breaks off or is malformed shows that the server has begun to execute the
+// request.
+func (p *Pool) earlyAnswer(ctx context.Context, c *conn, m *Message, cause error) (end attemptEnd, ok bool) {
 	beforeRelease := errors.Is(cause, errEarlyAnswer)
-	if beforeRelease {
+	if beforeRelease || m.Upload == nil {
 		c.SetReadDeadline(time.Now().Add(earlyAnswerWait))
 	}
 	a, err := p.read(c, m)
-	if err != nil || beforeRelease && c.Uses() > 1 && a.head.Header.Get(p.Dialect.IDField) != m.ID {
+	if beforeRelease && c.Uses() > 1 && (a.head == nil || a.head.Header.Get(p.Dialect.IDField) != m.ID) {
 		return attemptEnd{}, false
 	}
-	return attemptEnd{verdict: c.AnsweredEarly(a.Answer), head: a.head, body: a.body}, true
+	if err == nil {
+		return attemptEnd{verdict: c.AnsweredEarly(a.Answer), head: a.head, body: a.body}, true
+	}
+	failure := failureAwaiting(ctx, err)
+	if failure == upstreamconn.ConnectionLost {
+		p.recordLoss(c)
+	}
+	c.MayExecute()
+	return attemptEnd{verdict: c.FailedWriting(failure), err: err}, true
 }
 
 // awaitAnswer reads the answer to a request that was written completely.
--- a/internal/dataplane/upstream/conn.go
+++ b/internal/dataplane/upstream/conn.go
@@ -29,6 +29,7 @@
 	holdTime        time.Duration    // time for which a part of the current request is held back
 	lastAnswer      decision.Seconds // time of the last answer, in seconds since Pool.base
 	sawUnidentified bool             // whether an answer without an ID has arrived
+	headLeft        int              // bytes of the current request's head that have not been written
 	unread          []byte           // bytes that stale read from the connection; Read returns them first
 	traffic         *traffic.Counter
 }
@@ -49,6 +50,7 @@
 func (c *conn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	c.traffic.Wrote(n)
+	c.headLeft = max(0, c.headLeft-n)
 	return n, err
 }
 
--- a/internal/dataplane/upstream/dialect.go
+++ b/internal/dataplane/upstream/dialect.go
@@ -18,6 +18,9 @@
 	// IDField is the field in which an answer returns the ID of its request, in textproto's canonical form. "": answers
 	// have no such field, as with the standalone ingress.
 	IDField string
+	// ExecutesFromHead means that a server may start to execute a request when its head has arrived, and not only when
+	// its body has. Once the head has been written, only an answer proves that the request was not executed.
+	ExecutesFromHead bool
 	// MinHoldIdle is the minimum time for which the last byte of a request is held back, if the request must run at
 	// most once and the connection has been idle. 0: no longer than on any other connection.
 	MinHoldIdle time.Duration
--- a/internal/dataplane/upstream/upload.go
+++ b/internal/dataplane/upstream/upload.go
@@ -44,7 +44,8 @@
 		m.Upload.Abort()
 	})
 	defer stop()
-	if _, err := c.Write(head); err != nil {
+	split := len(head) - 1 // before the last byte of the head
+	if _, err := c.Write(head[:split]); err != nil {
 		return false, fmt.Errorf("%w: %w", errServerUpload, err)
 	}
 	// A server that has dropped the connection resets it now. Nothing of the body has been read yet, so the request can
@@ -56,6 +57,9 @@
 		}
 		return errors.Is(err, errEarlyAnswer), fmt.Errorf("%w: %w", errServerUpload, err)
 	}
+	if _, err := c.Write(head[split:]); err != nil {
+		return false, fmt.Errorf("%w: %w", errServerUpload, err)
+	}
 	uploaded := make(chan error, 1)
 	go func() { uploaded <- copyUpload(c, m.Upload) }()
 	readErr := c.reader.Wait() // returns at an answer, the end of the connection, or a deadline
@@ -129,8 +133,8 @@
 	}
 }
 
-// failureUploading returns how an upload failed before its last byte was written, so that nothing was executed. The
-// failure counts against the server only if the server broke the connection.
+// failureUploading returns how an upload failed before its last byte was written. The failure counts against the server
+// only if the server broke the connection.
 func failureUploading(ctx context.Context, err error) upstreamconn.Failure {
 	switch {
 	case ctx.Err() != nil, errors.Is(err, errClientUpload), errors.Is(err, errDraining):
--- a/internal/dataplane/upstream/write.go
+++ b/internal/dataplane/upstream/write.go
@@ -19,10 +19,11 @@
 // requestBuffers holds buffers in which requests are assembled.
 var requestBuffers = sync.Pool{New: func() any { b := make([]byte, 0, 1024); return &b }}
 
-// write sends a request. If holdsLastByte returns true, it sends the last byte separately, after a pause. A server that
-// has dropped an idle connection resets it at the first byte of a request. While the last byte is held back, this
-// proves that the request was not executed. So do bytes that arrive meanwhile, unless they are an answer to the request
-// (see Pool.earlyAnswer).
+// write sends a request. If holdsLastByte returns true, it sends a part separately, after a pause: the last byte, or
+// what begins with the last byte of the head if servers may execute a request from its head. A server that has dropped
+// an idle connection resets it at the first byte of a request. While the part is held back, this proves that the
+// request was not executed. So do bytes that arrive meanwhile, unless they are an answer to the request (see
+// Pool.earlyAnswer).
 func (p *Pool) write(ctx context.Context, c *conn, request []byte, atMostOnce bool) (complete bool, err error) {
 	if !p.holdsLastByte(c, atMostOnce) {
 		n, err := c.Write(request)
@@ -30,19 +31,22 @@
 	}
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(pastDeadline) })
 	defer stop()
-	last := len(request) - 1
-	if _, err = c.Write(request[:last]); err != nil {
+	split := len(request) - 1
+	if p.Dialect.ExecutesFromHead {
+		split = c.headLeft - 1
+	}
+	if _, err = c.Write(request[:split]); err != nil {
 		return false, err
 	}
 	p.hold(c, atMostOnce)
 	if err := p.mayRelease(ctx, c); err != nil {
 		return false, err
 	}
-	n, err := c.Write(request[last:])
-	return n == 1, err
+	n, err := c.Write(request[split:])
+	return n == len(request)-split, err
 }
 
-// holdsLastByte reports whether the last byte of a request is to be held back. That delays the request, so it is done
+// holdsLastByte reports whether the last byte of a request or of its head is to be held back. That delays the request, so it is done
 // only if a lost connection is likely or the request must run at most once.
 func (p *Pool) holdsLastByte(c *conn, atMostOnce bool) bool {
 	now := p.now()
--- a/internal/dataplane/upstreamconn/machine.go
+++ b/internal/dataplane/upstreamconn/machine.go
@@ -32,6 +32,7 @@
 	state            State
 	uses             int  // requests that have begun on the connection
 	foreignAnswers   int  // answers to other requests that have arrived
+	mayExecute       bool // the server may execute the request, although it has not been written completely
 	closeAfterStream bool // while streaming: the connection is not reused, however the body ends
 }
 
@@ -47,6 +48,7 @@
 		return fmt.Errorf("begin while %v: %w", m.state, ErrState)
 	}
 	m.state = Writing
+	m.mayExecute = false
 	m.uses++
 	return nil
 }
@@ -61,10 +63,21 @@
 	return Verdict{Outcome: decision.NotSent, Reusable: true}
 }
 
+// MayExecute records that the server may execute the request although it has not been written completely: in a dialect
+// whose servers start as soon as the head has arrived, the head has been written, or the server has begun to answer.
+func (m *Machine) MayExecute() error {
+	if m.state != Writing {
+		return fmt.Errorf("may execute while %v: %w", m.state, ErrState)
+	}
+	m.mayExecute = true
+	return nil
+}
+
 // FailedWriting ends an attempt before the last byte of its request was written: the write failed, the server sent
-// something or closed the connection, or the attempt was cancelled. The request was not executed. If the connection was
-// used before, the server may only have dropped an idle connection, which says nothing about the server's health, so
-// another connection may be tried. If the connection was new, no other connection is tried.
+// something or closed the connection, or the attempt was cancelled. The request was not executed, unless MayExecute was
+// called before. If it was not executed and the connection was used before, the server may only have dropped an idle
+// connection, which says nothing about the server's health, so another connection may be tried. If the connection was
+// new, no other connection is tried.
 func (m *Machine) FailedWriting(failure Failure) Verdict {
 	if m.state != Writing {
 		return m.illegal("failed writing")
@@ -74,6 +87,9 @@
 		m.state = Idle
 		return Verdict{Outcome: decision.ConnectionRefused, Reusable: true}
 	}
+	if m.mayExecute {
+		return unprovenVerdict(failure)
+	}
 	if failure == Cancelled {
 		return Verdict{Outcome: decision.NotSent, Code: "upstream-not-needed"}
 	}
@@ -85,9 +101,8 @@
 }
 
 // AnsweredEarly ends an attempt by an answer that arrived before the last byte of its request was written. The
-// connection is closed, because the request on it is incomplete. A server starts to execute a request when its last
-// byte has arrived, but a server that answers with an error may have started earlier. Only a rejection in the form of
-// the protocol proves that the request was not executed.
+// connection is closed, because the request on it is incomplete. Only a rejection in the form of the protocol proves
+// that the request was not executed.
 func (m *Machine) AnsweredEarly(a Answer) Verdict {
 	if m.state != Writing {
 		return m.illegal("answered early")
@@ -193,6 +208,11 @@
 		m.state = Idle
 		return Verdict{Outcome: decision.Failed, Reusable: true}
 	}
+	return unprovenVerdict(failure)
+}
+
+// unprovenVerdict is the verdict of a failed attempt whose request may have been executed, or may still be.
+func unprovenVerdict(failure Failure) Verdict {
 	switch failure {
 	case Cancelled:
 		return Verdict{Outcome: decision.Cancelled, Code: "upstream-cancelled"}
--- a/internal/dataplane/upstreamconn/machine_test.go
+++ b/internal/dataplane/upstreamconn/machine_test.go
@@ -37,6 +37,14 @@
 	}
 }
 
+func failedIncomplete(failure Failure) func(*Machine) Verdict {
+	return func(m *Machine) Verdict {
+		m.Begin()
+		m.MayExecute()
+		return m.FailedWriting(failure)
+	}
+}
+
 func notBegun(m *Machine) Verdict {
 	m.Begin()
 	return m.NotBegun()
@@ -115,6 +123,25 @@
 			want:  Verdict{Outcome: decision.ConnectionRefused, Code: "upstream-write-failed"},
 			state: Ended,
 		},
+		{
+			name:   "lost while writing, but it may be executed",
+			reused: true,
+			end:    failedIncomplete(ConnectionLost),
+			want:   Verdict{Outcome: decision.ConnectionReset, Code: "upstream-reset"},
+			state:  Ended,
+		},
+		{
+			name:  "cancelled while writing, but it may be executed",
+			end:   failedIncomplete(Cancelled),
+			want:  Verdict{Outcome: decision.Cancelled, Code: "upstream-cancelled"},
+			state: Ended,
+		},
+		{
+			name:  "malformed early answer",
+			end:   failedIncomplete(Malformed),
+			want:  Verdict{Outcome: decision.Failed, Code: "upstream-bad-answer"},
+			state: Ended,
+		},
 		{
 			name:   "lost before the last byte, reused",
 			reused: true,
--- a/internal/proxy/answers_test.go
+++ b/internal/proxy/answers_test.go
@@ -65,7 +65,7 @@
 	e.SetBackends(decision.Backends{List: []decision.Backend{{ID: "i-2", Group: "s2", Serving: true, Size: 9}}})
 	pool := upstream.New(func(string) (string, bool) { return back.Addr().String(), true },
 		upstream.Limits{Connections: 99, ConnectTimeout: time.Second, Keepalive: time.Minute}, logtest.Discard())
-	pool.Dialect = upstream.Dialect{AppendHead: appendRequestHead, Meaning: classifyAnswer, IDField: headerAttemptID}
+	pool.Dialect = serverDialect
 	server = ingress.New(s, e, pool, 99, logtest.Discard())
 	server.SetDialect(translator.dialect())
 	server.Started()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -110,7 +110,7 @@
 		ConnectTimeout: connectTimeout,
 		Keepalive:      keepalive,
 	}, logger)
-	p.pool.Dialect = upstream.Dialect{AppendHead: appendRequestHead, Meaning: classifyAnswer, IDField: headerAttemptID}
+	p.pool.Dialect = serverDialect
 	if p.settings.Clauses["pool"] { // this clause says that servers drop idle connections
 		p.pool.Dialect.MinHoldIdle = resetDelay
 	}
--- a/internal/proxy/server_protocol.go
+++ b/internal/proxy/server_protocol.go
@@ -9,6 +9,12 @@
 	"mulleinrouter/internal/dataplane/upstream"
 )
 
+// serverDialect is the protocol of the servers. They may answer before they have read a long body (NEWS-18, UNASKED), so
+// a request may be executed once its head has arrived.
+var serverDialect = upstream.Dialect{
+	AppendHead: appendRequestHead, Meaning: classifyAnswer, IDField: headerAttemptID, ExecutesFromHead: true,
+}
+
 // appendRequestHead appends the request line and the proxy's own header fields of a request to a server (PROTOCOL,
 // "Requests").
 func appendRequestHead(b []byte, m *upstream.Message, backend string, left time.Duration) []byte {
--- a/internal/proxy/translator_test.go
+++ b/internal/proxy/translator_test.go
@@ -287,7 +287,7 @@
 		ConnectTimeout: time.Second,
 		Keepalive:      time.Minute,
 	}, logtest.Discard())
-	p.Dialect = upstream.Dialect{AppendHead: appendRequestHead, Meaning: classifyAnswer, IDField: headerAttemptID}
+	p.Dialect = serverDialect
 	for _, id := range []string{"first", "second", "third"} {
 		r := p.Do(t.Context(), "i-1", &upstream.Message{
 			Method: "GET",
