Ingress: no 408 for a body that stalls where the request may have run

What clients saw: 408, the promise that nothing ran, for a request whose body stalled after a server of the system had got its head and may have begun with it.

The answer to an incomplete body did not ask whether an attempt may have been executed.

Change: Ticket.RetryIsSafe, by the rule that already governs 503; where a retry is not safe, 502. The ingress in service answers 408 as before, because its servers begin with the last byte.

--- a/internal/dataplane/attempt/machine.go
+++ b/internal/dataplane/attempt/machine.go
@@ -48,6 +48,9 @@
 	return m.mayHaveExecuted || m.phase == InFlight || m.phase == Abandoned
 }
 
+// RetryIsSafe reports whether a retry of the client cannot be executed in addition to an attempt, or does no harm then.
+func (m *Machine) RetryIsSafe() bool { return !m.NoClientRetry || !m.MayHaveExecuted() }
+
 // ConsumeBody records that part of the body has been read and cannot be read again, so that the attempt in flight is
 // the last one.
 func (m *Machine) ConsumeBody() { m.bodyConsumed = true }
@@ -92,7 +95,7 @@
 	if m.phase != Waiting {
 		return fmt.Errorf("reject while %v: %w", m.phase, ErrPhase)
 	}
-	if m.NoClientRetry && m.mayHaveExecuted {
+	if !m.RetryIsSafe() {
 		return ErrUnsafeReject
 	}
 	m.phase = Finished
--- a/internal/dataplane/engine/ticket.go
+++ b/internal/dataplane/engine/ticket.go
@@ -87,6 +87,14 @@
 	return t.engine.dispatcher.ShouldAbandon(t.engine.now(), t.request)
 }
 
+// RetryIsSafe reports whether the client may be told that the request was not executed, or that a retry does no harm.
+func (t *Ticket) RetryIsSafe() bool {
+	t.engine.mu.Lock()
+	defer t.engine.mu.Unlock()
+	machine := t.request.Machine()
+	return machine.RetryIsSafe()
+}
+
 // BodyUploaded reports that the streamed body of the request has been written completely.
 func (t *Ticket) BodyUploaded() {
 	t.engine.mu.Lock()
--- a/internal/dataplane/ingress/answer.go
+++ b/internal/dataplane/ingress/answer.go
@@ -33,10 +33,17 @@
 
 // rejectMessage answers a message that could not be read as a request. It returns the log code for which the connection
 // closes, because it is unknown where the next request would begin; "" if the connection itself ended.
-func (c *conn) rejectMessage(err error) (code string) {
+func (c *conn) rejectMessage(err error) (code string) { return c.rejectIncomplete(err, true) }
+
+// rejectIncomplete is rejectMessage for a message of which a part may have been forwarded already. A slow request gets
+// 408, which promises that it was not executed, only if a retry is safe.
+func (c *conn) rejectIncomplete(err error, retryIsSafe bool) (code string) {
 	requestErr := messageError(err)
 	if requestErr == nil && c.closeCode() == clientconn.CodeSlowRequest {
 		requestErr = errSlowRequest
+		if !retryIsSafe {
+			requestErr = errSlowExecuted
+		}
 	}
 	if requestErr == nil {
 		return ""
--- a/internal/dataplane/ingress/errors.go
+++ b/internal/dataplane/ingress/errors.go
@@ -40,6 +40,13 @@
 	Text:   "the request did not come to its end",
 }
 
+// errSlowExecuted replaces errSlowRequest if a server may have begun to execute the request.
+var errSlowExecuted = &RequestError{
+	Status: 502,
+	Code:   clientconn.CodeSlowRequest,
+	Text:   "the request did not come to its end",
+}
+
 // messageErrors are the answers to messages that could not be read as a request, by the error of reading them.
 var messageErrors = []struct {
 	cause  error
--- a/internal/dataplane/ingress/pending_request.go
+++ b/internal/dataplane/ingress/pending_request.go
@@ -172,7 +172,7 @@
 func (p *pendingRequest) endDisconnected() (code string, err error) {
 	p.conn.server.countOutcome(ClientDisconnected)
 	if err := p.uploadErr(); err != nil {
-		return p.conn.rejectMessage(err), err
+		return p.conn.rejectIncomplete(err, p.ticket.RetryIsSafe()), err
 	}
 	return "client-gone", nil
 }
--- a/internal/dataplane/ingress/server_test.go
+++ b/internal/dataplane/ingress/server_test.go
@@ -18,7 +18,7 @@
 func TestExchanges(t *testing.T) {
 	exchange.Each(t, "testdata/*.txt", func(t *testing.T, script string) {
 		p := exchange.New(t, "server")
-		s, _ := newTestServer(decision.Settings{
+		s, pool := newTestServer(decision.Settings{
 			Gateways:    1,
 			MaxAttempts: 1,
 			MayCancel:   true,
@@ -37,6 +37,10 @@
 			meter.clear()
 			return text
 		}
+		p.Hooks["executes-from-head"] = func(string) string { // sets a dialect whose servers begin with the head
+			pool.Dialect.ExecutesFromHead = true
+			return ""
+		}
 		addLifecycleHooks(p, s)
 		addConnectionHooks(p, s)
 		p.Play(script)
