Replication: long items are sent in parts, so none cuts a subscriber off

Cause: an item's body may have 1 MiB and a frame to an ingress had 1 MiB too, with the item's name, history and the source's status in it. Agents rejected the frame and connected again, for ever. Besides, a frame that takes over 2 s on a link ended the connection for lack of a sign of life: 500,000 bytes at 2 Mbit/s.

Change: bodies of over 64 KiB are sent in parts, each in an update of its own, to subscribers whose hello accepts them. Sources of an earlier version may send frames of up to 1 MiB + 64 KiB. Subscribers of an earlier version get all but an item that their frames can't carry, which is logged.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -84,6 +84,7 @@
 				a.proxyReadyAt.Store(int64(time.Since(a.startedAt)))
 			}
 		},
+		OnItemLeftOut: replication.LogItemLeftOut(logger),
 	}
 	return a
 }
--- a/internal/cluster/replication/chunk_cache.go
+++ b/internal/cluster/replication/chunk_cache.go
@@ -33,7 +33,8 @@
 }
 
 // chunk returns the chunk with the changes after a sequence number. If they are small, it returns ok false, and the
-// changes are sent with the next update.
+// changes are sent with the next update. If they begin with an item that is too long for an update, it returns
+// errLongItem, because the form in which that is sent depends on the subscriber.
 func (s *Source) chunk(since uint64) (found chunk, ok bool, err error) {
 	cache, now := &s.cache, time.Now()
 	cache.mu.Lock()
@@ -44,8 +45,11 @@
 	if s.Store.ChangesSince(since, smallChangeBytes).Complete {
 		return chunk{}, false, nil
 	}
-	update := &transport.Update{Incarnation: s.Store.Incarnation(), Clock: s.Clock.Now()}
 	changes := s.Store.ChangesSince(since, chunkBytes)
+	if changes.longItem() != nil {
+		return chunk{}, false, errLongItem
+	}
+	update := &transport.Update{Incarnation: s.Store.Incarnation(), Clock: s.Clock.Now()}
 	update.Items, update.Instances, update.Seq = changes.Items, changes.Instances, changes.Seq
 	buffer := make([]byte, 0, chunkBytes+chunkBytes/4)
 	frame, err := transport.Append(buffer, &transport.Frame{Update: update})
--- a/internal/cluster/replication/feed.go
+++ b/internal/cluster/replication/feed.go
@@ -1,9 +1,11 @@
 package replication
 
 import (
+	"errors"
 	"slices"
 	"time"
 
+	"mulleinrouter/internal/cluster/configuration"
 	"mulleinrouter/internal/cluster/transport"
 )
 
@@ -86,10 +88,14 @@
 	}
 }
 
-// sendChunk sends the next shared chunk. If few changes are left, it sends nothing and returns sent false; they go with
-// the next update.
+// sendChunk sends the next shared chunk, or an item that is too long for one. If few changes are left, it sends nothing
+// and returns sent false; they go with the next update.
 func (f *feed) sendChunk() (sent bool, err error) {
 	next, found, err := f.source.chunk(f.seq)
+	if errors.Is(err, errLongItem) {
+		_, _, err = f.sendUpdate()
+		return true, err
+	}
 	if err != nil || !found {
 		return false, err
 	}
@@ -100,8 +106,8 @@
 	return true, nil
 }
 
-// sendUpdate sends an update with the next changes for the subscriber. More reports that further ones are left.
-func (f *feed) sendUpdate() (builtAt time.Time, more bool, err error) {
+// newUpdate returns an update without changes for the subscriber.
+func (f *feed) newUpdate() *transport.Update {
 	s := f.source
 	update := s.status()
 	if s.Rank != nil {
@@ -112,14 +118,25 @@
 			f.voters, update.Voters = voters, voters
 		}
 	}
-	changes := s.Store.ChangesSinceExcept(f.seq, chunkBytes, f.matching)
-	f.seq = changes.Seq
-	update.Items, update.Instances, update.Complete = changes.Items, changes.Instances, changes.Complete
-	update.Seq = f.seq
 	update.MatchingBuckets, f.matchingBits = f.matchingBits, nil
+	update.Seq = f.seq
+	return update
+}
+
+// sendUpdate sends an update with the next changes for the subscriber. More reports that further ones are left.
+func (f *feed) sendUpdate() (builtAt time.Time, more bool, err error) {
+	s := f.source
+	changes := s.Store.ChangesSinceExcept(f.seq, chunkBytes, f.matching)
 	if f.hello.Class == ClassControl {
-		update.Items = nil // a control node accepts only items that consensus has chosen
+		changes.Items = nil // a control node accepts only items that consensus has chosen
+	}
+	if item := changes.longItem(); item != nil {
+		err := f.sendLongItem(item, changes)
+		return time.Now(), !changes.Complete, err
 	}
+	f.seq = changes.Seq
+	update := f.newUpdate()
+	update.Items, update.Instances, update.Complete = changes.Items, changes.Instances, changes.Complete
 	builtAt = time.Now()
 	more = !update.Complete
 	if f.sendsHeartbeats && builtAt.Sub(f.lastHeartbeatsAt) >= heartbeatBatchInterval {
@@ -136,6 +153,48 @@
 	return builtAt, more, f.conn.Send(&transport.Frame{Update: update})
 }
 
+// sendLongItem sends an item that is too long for one update: in parts, or to a subscriber of an earlier version in one
+// frame. If such a subscriber would reject the frame and end the connection, the item is left out, so that the
+// subscriber gets the later changes.
+func (f *feed) sendLongItem(item *configuration.Item, changes Changes) error {
+	if !f.hello.AcceptsParts {
+		return f.sendUnsplit(item, changes)
+	}
+	for _, part := range splitBody(item) {
+		update := f.newUpdate()
+		update.Part = &part
+		if part.Last() {
+			bare := *item
+			bare.Body = nil
+			update.Items, update.Seq, update.Complete = []configuration.Item{bare}, changes.Seq, changes.Complete
+		}
+		if err := f.conn.Send(&transport.Frame{Update: update}); err != nil {
+			return err
+		}
+	}
+	f.seq = changes.Seq
+	return nil
+}
+
+// sendUnsplit sends a long item in one frame, or without the item if the frame would be too long.
+func (f *feed) sendUnsplit(item *configuration.Item, changes Changes) error {
+	f.seq = changes.Seq
+	update := f.newUpdate()
+	update.Items, update.Complete = []configuration.Item{*item}, changes.Complete
+	frame, err := transport.Append(nil, &transport.Frame{Update: update})
+	if err != nil {
+		return err
+	}
+	if len(frame) <= transport.MaxFrameWithoutParts {
+		return f.conn.SendEncoded(frame)
+	}
+	if f.source.OnItemLeftOut != nil {
+		f.source.OnItemLeftOut(f.hello.Node, item.Key)
+	}
+	update.Items = nil
+	return f.conn.Send(&transport.Frame{Update: update})
+}
+
 // wait waits for a change or the end of the timeout. It returns false if the connection has ended.
 func wait(timer *time.Timer, timeout time.Duration, changed, done <-chan struct{}) bool {
 	timer.Reset(timeout)
--- a/internal/cluster/replication/session.go
+++ b/internal/cluster/replication/session.go
@@ -21,6 +21,7 @@
 	conn        *transport.Conn
 	lastRenewal time.Time
 	repair      sourceRepair
+	longItem    bodyAssembly // parts of the item that the source is sending
 }
 
 // connectAndServe subscribes over a connection, and returns when the connection ends, or at once if netConn is nil. It
@@ -86,6 +87,7 @@
 		Epoch:             c.Store.Epoch(),
 		Zone:              c.Zone,
 		ControlAddr:       c.ControlAddr,
+		AcceptsParts:      true,
 	}
 	if c.Class == ClassAgent {
 		hello.Digests = c.Store.Digests()
@@ -96,7 +98,8 @@
 // apply handles an update. It also sends the renewals, so that a subscription needs no timer for them.
 func (s *session) apply(update *transport.Update) {
 	c, now := s.client, time.Now()
-	if update.Incarnation == 0 { // not valid: no store has this incarnation (NewStore)
+	// No store has the incarnation 0 (NewStore), and parts that do not form a body would be lost.
+	if update.Incarnation == 0 || !s.longItem.add(update) {
 		s.conn.Close()
 		return
 	}
--- a/internal/cluster/replication/source.go
+++ b/internal/cluster/replication/source.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"mulleinrouter/internal/cluster/configuration"
 	"mulleinrouter/internal/cluster/registry"
 	"mulleinrouter/internal/cluster/transport"
 )
@@ -44,6 +45,10 @@
 	// registry.Registry.HeartbeatsSince). They are sent to control nodes; nil means that none are sent.
 	Heartbeats func(since uint64) (heartbeats []transport.Heartbeat, last uint64)
 
+	// OnItemLeftOut is called when an item is not sent to a subscriber of an earlier version, which would reject a frame
+	// of that length. May be nil.
+	OnItemLeftOut func(node string, key configuration.Key)
+
 	cache   chunkCache
 	resumes heartbeatResumes
 }
--- a/internal/cluster/transport/codec.go
+++ b/internal/cluster/transport/codec.go
@@ -12,7 +12,12 @@
 
 // Bounds of a frame in bytes, without its length prefix.
 const (
-	MaxFrame        = 1 << 20  // frames to and from an ingress
+	// MaxFrame bounds frames to and from an ingress. A source of an earlier version, which sends no parts of items, may
+	// send an item whose body has configuration.MaxBodyBytes together with its name, its history and the source's status.
+	MaxFrame = MaxFrameWithoutParts + 64<<10
+	// MaxFrameWithoutParts bounds frames to an ingress of an earlier version, one whose Hello has no AcceptsParts.
+	MaxFrameWithoutParts = 1 << 20
+
 	MaxControlFrame = 32 << 20 // frames between control nodes, because a first configuration is sent in one call
 )
 
--- a/internal/cluster/transport/frame.go
+++ b/internal/cluster/transport/frame.go
@@ -51,6 +51,8 @@
 	// Digests are the digests of the subscriber's store (replication.Store.Digests). A source of another incarnation
 	// than SourceIncarnation leaves out the buckets that are the same.
 	Digests []byte `cbor:"20,keyasint,omitempty"`
+	// AcceptsParts means that the subscriber accepts Update.Part.
+	AcceptsParts bool `cbor:"21,keyasint,omitempty"`
 }
 
 // Update contains changes of a source. Without changes, it keeps the connection alive.
@@ -79,8 +81,24 @@
 	// MatchingBuckets has a bit for each bucket of Hello.Digests that is the same and is left out. It is sent only with
 	// the first update.
 	MatchingBuckets []byte `cbor:"20,keyasint,omitempty"`
+	// Part is a part of the body of a long item. The parts are sent in order, in successive updates. The last one is
+	// sent with the item itself, as the only entry in Items and without its body.
+	Part *ItemPart `cbor:"21,keyasint,omitempty"`
 }
 
+// ItemPart is a part of the body of an item that is sent in several updates, so that no frame is as long as an item may
+// be and the connection stays alive on a slow link.
+type ItemPart struct {
+	Key     configuration.Key `cbor:"1,keyasint"`
+	Version uint64            `cbor:"2,keyasint"`
+	Offset  int               `cbor:"3,keyasint,omitempty"` // of the part in the body
+	Length  int               `cbor:"4,keyasint"`           // of the complete body
+	Data    []byte            `cbor:"5,keyasint"`
+}
+
+// Last reports whether the part ends the body.
+func (p *ItemPart) Last() bool { return p.Offset+len(p.Data) == p.Length }
+
 // Heartbeat is a heartbeat of a server, forwarded among control nodes.
 type Heartbeat = registry.Heartbeat
 
--- a/internal/cluster/transport/golden_test.go
+++ b/internal/cluster/transport/golden_test.go
@@ -96,6 +96,11 @@
 			{},
 		}}}},
 		{"bare coordination", &Frame{Coordination: &Coordination{}}},
+		{"hello that accepts parts", &Frame{Hello: &Hello{Node: "edge-1", Class: "agent", AcceptsParts: true}}},
+		{"part of an item", &Frame{Update: &Update{Incarnation: 5, Seq: 6, Part: &ItemPart{
+			Key: configuration.Key{Kind: configuration.Tenants, Name: "t"}, Version: 7,
+			Offset: 3, Length: 1 << 20, Data: []byte("abc"),
+		}}}},
 		{"confirmed release", &Frame{Coordination: &Coordination{Calls: []CoordinationCall{{
 			ID: 2, Request: coordination.Request{
 				Kind: coordination.ReleaseLock, Name: "l", Owner: "a.1", Fence: 41,
--- a/internal/control/wiring.go
+++ b/internal/control/wiring.go
@@ -106,6 +106,7 @@
 			voters, _ := n.replica.Voters()
 			return voters
 		},
+		OnItemLeftOut: replication.LogItemLeftOut(n.config.Log),
 	}
 	options := httpapi.Options{
 		Self:        n.self,
