Shards: frames between control nodes are bounded, whatever is queued

What callers would see: a replica that has no shard yet, or a node with many watches, gets nothing from its peer, for ever.

All that waited for a peer went into one frame. With the states of six shards, or the events of many watches, it could exceed the 32 MiB of a frame, was dropped, queued again and dropped again.

Change: a queue is sent in frames of about 1 MiB.

--- a/internal/control/shards/outbox.go
+++ b/internal/control/shards/outbox.go
@@ -11,8 +11,16 @@
 // link, so that memory stays bounded.
 const maxQueued = 2048
 
-// outbox queues messages, calls and replies for one peer. All that are queued while a frame is being written are sent
-// in the next frame.
+const (
+	// maxBatchBytes is the approximate size of the frames in which a queue is sent. A single message may be longer: one
+	// with the complete state of a shard. A frame with the states of all shards, or with the answers to many watches,
+	// could exceed transport.MaxControlFrame, and would be lost each time that it is sent again.
+	maxBatchBytes = 1 << 20
+	entryOverhead = 64 // approximate size of an entry in a frame without its texts and records, bytes
+)
+
+// outbox queues messages, calls and replies for one peer. What is queued while a frame is being written is sent in the
+// next frames.
 type outbox struct {
 	mu      sync.Mutex // guards waiting
 	waiting transport.Coordination
@@ -61,13 +69,57 @@
 	}
 }
 
-// take removes and returns all that is waiting.
-func (o *outbox) take() transport.Coordination {
+// take removes and returns what is to be sent in the next frame: about maxBatchBytes, and at least one entry if there is
+// any. More reports that entries are left.
+func (o *outbox) take() (batch transport.Coordination, more bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	waiting := o.waiting
-	o.waiting = transport.Coordination{}
-	return waiting
+	w, left := &o.waiting, maxBatchBytes
+	batch.Messages, w.Messages = split(w.Messages, messageBytes, &left)
+	batch.Calls, w.Calls = split(w.Calls, callBytes, &left)
+	batch.Replies, w.Replies = split(w.Replies, replyBytes, &left)
+	if more = len(w.Messages)+len(w.Calls)+len(w.Replies) > 0; !more {
+		*w = transport.Coordination{} // releases the memory of a long queue
+	}
+	return batch, more
+}
+
+// split returns the first entries whose size is within the bytes that are left, and the rest. The entry that exceeds
+// them is still included, and nothing after it.
+func split[T any](entries []T, size func(*T) int, left *int) (first, rest []T) {
+	n := 0
+	for n < len(entries) && *left > 0 {
+		*left -= size(&entries[n])
+		n++
+	}
+	return entries[:n:n], entries[n:]
+}
+
+func messageBytes(m *shard.Message) int {
+	bytes := entryOverhead + writesBytes(m.Records)
+	for _, batch := range m.Batches {
+		bytes += entryOverhead + writesBytes(batch.Writes)
+	}
+	return bytes
+}
+
+func writesBytes(writes []shard.Write) (bytes int) {
+	for _, w := range writes {
+		bytes += entryOverhead + len(w.Key) + len(w.Value)
+	}
+	return bytes
+}
+
+func callBytes(c *transport.CoordinationCall) int {
+	return entryOverhead + len(c.Request.Name) + len(c.Request.Owner) + len(c.Request.Value)
+}
+
+func replyBytes(r *transport.CoordinationReply) int {
+	bytes := entryOverhead + len(r.Result.Value)
+	for _, event := range r.Result.Events {
+		bytes += entryOverhead + len(event.Name) + len(event.Value)
+	}
+	return bytes
 }
 
 // sendAll sends the queue of a peer whenever it is not empty, until the service ends.
@@ -78,9 +130,12 @@
 		case <-s.ctx.Done():
 			return
 		}
-		waiting := o.take()
-		// An error is ignored, because replicas and callers send again what is lost.
-		_ = s.options.Peers.Send(addr, &transport.Frame{Coordination: &waiting})
+		for more := true; more && s.ctx.Err() == nil; {
+			var batch transport.Coordination
+			batch, more = o.take()
+			// An error is ignored, because replicas and callers send again what is lost.
+			_ = s.options.Peers.Send(addr, &transport.Frame{Coordination: &batch})
+		}
 	}
 }
 
