Proposals: answer 413 to a change that no frame between voters can carry

What operators would see: no answer but 503 to a long change, and at this node none to any later one until other nodes have made a change.

A call of up to 28 MiB is read, but as a proposal its items have the histories of the versions that they replace, or drag a long current item along. This node accepted such a proposal itself, could not send it, and has to complete it first in every later round.

Change: compose rejects such a change with 413. The estimate alone rejects nothing; the items are encoded to find out.

--- a/internal/cluster/configuration/errors.go
+++ b/internal/cluster/configuration/errors.go
@@ -14,7 +14,9 @@
 // RejectionError is the reason why an operator's call is rejected. No part of the call takes effect. Its text is the
 // body of the answer.
 type RejectionError struct {
-	Status int    // 400: the call is invalid; 409: another call has set something else under the same version
+	// Status is 400 if the call is invalid, 409 if another call has set something else under the same version, and 413
+	// if the items of the call are too long for one change.
+	Status int
 	Text   string // one short line for the operator
 }
 
--- a/internal/control/proposals/compose.go
+++ b/internal/control/proposals/compose.go
@@ -1,12 +1,15 @@
 package proposals
 
 import (
+	"net/http"
 	"slices"
 
 	"github.com/go-kit/log/level"
 
 	"mulleinrouter/internal/cluster/configuration"
 	"mulleinrouter/internal/cluster/consensus"
+	"mulleinrouter/internal/cluster/transport"
+	"mulleinrouter/internal/control/replica"
 	"mulleinrouter/internal/mutants"
 )
 
@@ -14,6 +17,17 @@
 // proposed alone.
 const maxBatchBytes = 1 << 20
 
+// maxProposalBytes limits the items of a proposal in a frame, so that it can be sent to the other voters together with
+// its ballot and the electorate. If this node accepted a longer one, it could never complete it.
+const maxProposalBytes = transport.MaxControlFrame - 64<<10
+
+// errChangeTooLong rejects a change whose items do not fit into a proposal together with the histories of the items that
+// they replace.
+var errChangeTooLong = &configuration.RejectionError{
+	Status: http.StatusRequestEntityTooLarge,
+	Text:   "too long for one change: send its items in several calls",
+}
+
 // ElectorateChange replaces the voters. It applies only to the electorate for which it was planned.
 type ElectorateChange struct {
 	From consensus.Electorate // electorate for which the change was planned
@@ -43,6 +57,7 @@
 	}
 	items, verdicts := consensus.ComposeProposal(
 		snapshot, itemsForEpoch(changes, base.Epoch+1), maxBatchBytes, (*configuration.Snapshot).Validate)
+	items, verdicts = rejectTooLong(items, verdicts)
 	// A change that an outdated snapshot rejects may be valid upon the newest one.
 	rejects := slices.ContainsFunc(verdicts, func(v consensus.Verdict) bool { return v.Err != nil })
 	if rejects && !action.Confirmed && !mutants.On("proposals/refuses-unsure") {
@@ -54,6 +69,37 @@
 	return next, left
 }
 
+// rejectTooLong rejects the included change if its items are too long for a proposal. A change that is included together
+// with others is short.
+func rejectTooLong(items []configuration.Item, verdicts []consensus.Verdict) (
+	[]configuration.Item, []consensus.Verdict,
+) {
+	if fitIntoFrame(items) {
+		return items, verdicts
+	}
+	for n := range verdicts {
+		if verdicts[n].Included {
+			verdicts[n] = consensus.Verdict{Err: errChangeTooLong}
+		}
+	}
+	return nil, verdicts
+}
+
+// fitIntoFrame reports whether a proposal with these items fits into a frame. Only items that may be too long by their
+// estimated size are encoded to find out.
+func fitIntoFrame(items []configuration.Item) bool {
+	estimate := 0
+	for _, item := range items {
+		estimate += replica.FrameBytes(item)
+	}
+	if estimate <= maxProposalBytes {
+		return true
+	}
+	proposal := consensus.Proposal{Items: items}
+	frame, err := transport.Append(nil, &transport.Frame{Accept: &transport.Accept{Proposal: proposal}})
+	return err == nil && len(frame) <= maxProposalBytes
+}
+
 // itemsForEpoch returns copies of the items of each change, marked with the epoch in which they would be chosen.
 func itemsForEpoch(changes []*pendingChange, epoch uint64) [][]configuration.Item {
 	all := make([][]configuration.Item, len(changes))
--- a/internal/control/replica/chunks.go
+++ b/internal/control/replica/chunks.go
@@ -135,7 +135,7 @@
 func firstItems(all iter.Seq2[uint64, configuration.Item], maxBytes int) (items []configuration.Item, next uint64) {
 	var last uint64
 	for position, item := range all {
-		maxBytes -= frameBytes(item)
+		maxBytes -= FrameBytes(item)
 		if maxBytes < 0 && len(items) > 0 && position != last {
 			return items, last + 1
 		}
@@ -144,8 +144,8 @@
 	return items, 0
 }
 
-// frameBytes is an upper estimate of the size of an item in a frame.
-func frameBytes(item configuration.Item) int {
+// FrameBytes is an upper estimate of the size of an item in a frame.
+func FrameBytes(item configuration.Item) int {
 	bytes := item.Size()
 	if item.History != nil {
 		bytes += historyEntryBytes * len(*item.History)
--- a/internal/control/replica/chunks_test.go
+++ b/internal/control/replica/chunks_test.go
@@ -168,7 +168,7 @@
 	w.chunks++
 	size := 0
 	for _, item := range chunk.Items {
-		size += frameBytes(item)
+		size += FrameBytes(item)
 	}
 	if size > request.MaxBytes && len(chunk.Items) > 1 {
 		w.failure = fmt.Sprintf("got a chunk of %d bytes, requested %d", size, request.MaxBytes)
