Proxy: no key is valid after the last tenant is removed

Cause: a configuration without tenants needs no keys, and the proxy asked only whether it has any now.

From then on a request with a key needs a valid one. Requests without a key are served while there are no tenants, as before.

--- a/internal/cluster/configuration/routing_table.go
+++ b/internal/cluster/configuration/routing_table.go
@@ -13,6 +13,8 @@
 	keys     trie[stringKey, *claim[Tenant]]
 	services trie[stringKey, *Service]
 	limits   ClientLimits
+
+	hadTenants bool // a tenant is or was configured
 }
 
 // NewRoutingTable returns the table of an empty snapshot.
@@ -44,6 +46,7 @@
 }
 
 func (rt *RoutingTable) setTenant(e *edit, current *entry) {
+	rt.hadTenants = true
 	name := stringKey(current.Key.Name)
 	if old, _ := rt.tenants.get(name); old != nil {
 		rt.tenants = rt.tenants.without(e, name)
@@ -128,6 +131,10 @@
 // HasTenants reports whether there is any tenant, in which case requests need an API key.
 func (rt *RoutingTable) HasTenants() bool { return rt.tenants.size > 0 }
 
+// HadTenants reports whether there is or was any tenant. If all have been removed, requests need no API key, but one
+// that has a key needs a valid one, and no key is valid.
+func (rt *RoutingTable) HadTenants() bool { return rt.hadTenants }
+
 // TenantCount returns the number of tenants.
 func (rt *RoutingTable) TenantCount() int { return rt.tenants.size }
 
--- a/internal/proxy/translator.go
+++ b/internal/proxy/translator.go
@@ -181,7 +181,7 @@
 		return destination{}, t.unknownError(http.StatusNotFound, "request-unknown-route", "no such route")
 	}
 	tenant := tenantOf(r, table)
-	if tenant == nil && !route.Public && table.HasTenants() {
+	if tenant == nil && !route.Public && needsTenant(r, table) {
 		return destination{}, t.unknownError(http.StatusUnauthorized, "request-unknown-key", "no such key")
 	}
 	service := t.chooseService(route)
@@ -191,6 +191,14 @@
 	return destination{route: route, service: service, tenant: tenant}, nil
 }
 
+// needsTenant reports whether a request on a route that is not public needs the key of a tenant. While there are no
+// tenants, a request needs no key. But after the last tenant was removed, a request that has a key must not be served,
+// because the key may be the tenant's, or one that was never valid.
+func needsTenant(r *http1.Request, table *configuration.RoutingTable) bool {
+	hasKey := strings.HasPrefix(r.Header.Get(headerAuthorization), authScheme)
+	return table.HasTenants() || hasKey && table.HadTenants()
+}
+
 // tenantOf returns the tenant whose key a request contains, or nil if there is none.
 func tenantOf(r *http1.Request, table *configuration.RoutingTable) *configuration.Tenant {
 	authorization := r.Header.Get(headerAuthorization)
