Ingress: a body that was read but not written no longer strands its client

The descriptor was never freed.

Cause: watchClient is started when a streamed body has been forwarded, or when its rest is discarded. A body that was read to its end but not written to its end was in neither.

Change: afterAnswer asks whether the connection is watched (conn.watched), and not whether bytes of the body are left.

Evidence: TestUploadReadButNotWritten failed before ("nothing reads the next request").

--- a/internal/dataplane/ingress/answer.go
+++ b/internal/dataplane/ingress/answer.go
@@ -62,10 +62,12 @@
 	if err != nil {
 		return "client-write-failed", err
 	}
-	unread := r.Streamed != nil && !r.Streamed.Ended()
-	if unread && (closesConnection(r) || !c.discardBody(r.Streamed)) {
-		c.lingerFor = lingerLong
-		return "client-body-unread", nil
+	if r.Streamed != nil && !c.watched {
+		unread := !r.Streamed.Ended()
+		if unread && closesConnection(r) || !c.discardBody(r.Streamed) {
+			c.lingerFor = lingerLong
+			return "client-body-unread", nil
+		}
 	}
 	if r.Close {
 		return "client-asked", nil
--- a/internal/dataplane/ingress/conn.go
+++ b/internal/dataplane/ingress/conn.go
@@ -37,6 +37,7 @@
 	// A nil ticket means that only the next request is awaited.
 	watch       chan *engine.Ticket
 	watchResult chan error // results of watchClient: nil when the next request begins, or why the connection ended
+	watched     bool       // whether startWatch was called for the current request
 
 	machine clientconn.Machine // guarded by the server's mutex
 }
@@ -188,6 +189,7 @@
 		if err := <-c.watchResult; err != nil {
 			return served + 1, "", err
 		}
+		c.watched = false
 	}
 }
 
@@ -217,11 +219,19 @@
 	}
 }
 
+// startWatch passes the connection to watchClient, which reports a disconnection to the ticket; nil means that only the
+// next request is awaited. It is called once for each request after which the connection stays open: when the request
+// is submitted or rejected or, if its body is streamed, once the body has been forwarded or discarded.
+func (c *conn) startWatch(ticket *engine.Ticket) {
+	c.watched = true
+	c.watch <- ticket
+}
+
 // skipWatch makes watchClient await the next request, without a ticket to which a disconnection would be reported. For
 // a request with a streamed body discardBody does this, once the body has been read.
 func (c *conn) skipWatch(r *http1.Request) {
 	if r.Streamed == nil {
-		c.watch <- nil
+		c.startWatch(nil)
 	}
 }
 
--- a/internal/dataplane/ingress/pending_request.go
+++ b/internal/dataplane/ingress/pending_request.go
@@ -66,7 +66,7 @@
 	defer cancel()
 	p.ticket = s.engine.Submit(*request, cancel)
 	if r.Streamed == nil {
-		c.watch <- p.ticket
+		c.startWatch(p.ticket)
 	} else {
 		p.upload = &upload{conn: c, ticket: p.ticket, body: r.Streamed, expect: r.Expect}
 		message.Upload = p.upload
--- a/internal/dataplane/ingress/upload.go
+++ b/internal/dataplane/ingress/upload.go
@@ -42,7 +42,8 @@
 }
 
 // discardBody reads and discards the rest of the body of a request that was answered early, so that the next request
-// can be read. It reports whether it reached the end of the body.
+// can be read. It reports whether it reached the end of the body. There may be no rest: a server may not have accepted
+// the last part that was read.
 func (c *conn) discardBody(b *http1.Body) (complete bool) {
 	c.SetReadDeadline(time.Time{})
 	c.enterBody(clientconn.Discarding)
@@ -51,7 +52,7 @@
 	if err != nil || n == maxDiscard && !b.Ended() {
 		return false
 	}
-	c.watch <- nil
+	c.startWatch(nil)
 	return true
 }
 
@@ -139,7 +140,7 @@
 	u.resumeReads()
 	u.conn.enter(clientconn.Deciding)
 	u.ticket.BodyUploaded()
-	u.conn.watch <- u.ticket
+	u.conn.startWatch(u.ticket)
 }
 
 // resumeReads undoes an Abort that came at the moment in which the last bytes of the body were read.
--- a/internal/dataplane/ingress/upload_test.go
+++ b/internal/dataplane/ingress/upload_test.go
@@ -1,7 +1,9 @@
 package ingress
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -15,16 +17,26 @@
 // uploadedBytes is the length of the bodies of these tests, more than is buffered.
 const uploadedBytes = 100_000
 
+// testUpload is an upload that counts the bytes read.
+type testUpload struct {
+	*upload
+	bytesRead int
+}
+
 // startUpload returns the streamed body of a request that a client has sent completely, and both ends of the client's
 // connection. The tests do what serveRequests and the forwarding goroutine would do.
-func startUpload(t *testing.T) (u *upload, request *http1.Request, client net.Conn) {
+func startUpload(t *testing.T, chunked bool) (u *testUpload, request *http1.Request, client net.Conn) {
 	t.Helper()
+	body := strings.Repeat("x", uploadedBytes)
+	message := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", uploadedBytes, body)
+	if chunked {
+		message = fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", uploadedBytes, body)
+	}
 	server, _ := newTestServer(decision.Settings{Gateways: 1, MaxAttempts: 1, Classes: []decision.Class{sendClass}},
 		func() string { return "127.0.0.1:1" }, 2, 2)
 	l := listen(t)
 	client = dial(t, l)
-	go fmt.Fprintf(client, "POST /api/0 HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s", uploadedBytes,
-		strings.Repeat("x", uploadedBytes))
+	go fmt.Fprint(client, "POST /api/0 HTTP/1.1\r\n"+message)
 	nc, err := l.Accept()
 	if err != nil {
 		t.Fatal(err)
@@ -41,14 +53,21 @@
 	go c.watchClient()
 	c.enter(clientconn.Deciding)
 	ticket := server.engine.Submit(decision.Request{Class: "send", TimeLeft: 30}, func() {})
-	return &upload{conn: c, ticket: ticket, body: request.Streamed}, request, client
+	return &testUpload{upload: &upload{conn: c, ticket: ticket, body: request.Streamed}}, request, client
 }
 
 // read reads the body up to its last bytes, which wait in the buffer of the connection's reader.
-func (u *upload) read(t *testing.T, left int64) {
+func (u *testUpload) read(t *testing.T, left int) {
 	t.Helper()
-	for buf := make([]byte, 7); u.body.Remaining() > left; {
-		if _, err := u.Read(buf[:min(int64(len(buf)), u.body.Remaining()-left)]); err != nil && left > 0 {
+	buf := make([]byte, 7)
+	for u.bytesRead < uploadedBytes-left {
+		n, err := u.Read(buf[:min(len(buf), uploadedBytes-left-u.bytesRead)])
+		if u.bytesRead += n; err != nil && !errors.Is(err, io.EOF) {
+			t.Fatal(err)
+		}
+	}
+	if left == 0 && !u.body.Ended() { // the end of a chunked body follows its last bytes
+		if _, err := u.Read(buf); !errors.Is(err, io.EOF) {
 			t.Fatal(err)
 		}
 	}
@@ -76,10 +95,34 @@
 // Guards against a client that is taken for disconnected, and gets no answer: an upload is interrupted at the moment in
 // which the last bytes of the body are read, and is completed nevertheless.
 func TestUploadAbortedWithItsLastBytes(t *testing.T) {
-	u, _, client := startUpload(t)
-	u.read(t, 1)
-	u.Abort()
-	u.read(t, 0)
-	u.Uploaded()
-	requireNextRequest(t, u.conn, client)
+	for _, chunked := range []bool{false, true} {
+		u, _, client := startUpload(t, chunked)
+		u.read(t, 1)
+		u.Abort()
+		u.read(t, 0)
+		u.Uploaded()
+		requireNextRequest(t, u.conn, client)
+	}
+}
+
+// Guards against a client's connection that nobody reads any more: the body was read completely, but its last part
+// could not be written to a server that hangs, and the request was answered without it. The next request must be read,
+// also if the upload was interrupted as its last bytes were read.
+func TestUploadReadButNotWritten(t *testing.T) {
+	for _, chunked := range []bool{false, true} {
+		for _, aborted := range []bool{false, true} {
+			u, request, client := startUpload(t, chunked)
+			u.read(t, 1)
+			if aborted {
+				u.Abort()
+			}
+			u.read(t, 0)
+			c := u.conn
+			c.enter(clientconn.Answering)
+			if code, err := c.afterAnswer(request, nil); code != "" || err != nil {
+				t.Fatalf("the connection ends with %q, %v", code, err)
+			}
+			requireNextRequest(t, c, client)
+		}
+	}
 }
