Control: reject ids of instances that are not UTF-8 or have control characters

Cause: the id in the path of a heartbeat was checked for its length only.

Change: 400 for such an id, in PUT and DELETE.

Evidence: TestIDsOfInstances failed before (accepted).

--- a/internal/control/httpapi/instances.go
+++ b/internal/control/httpapi/instances.go
@@ -5,6 +5,9 @@
 	"encoding/json"
 	"net/http"
 	"net/netip"
+	"strings"
+	"unicode"
+	"unicode/utf8"
 
 	"mulleinrouter/internal/cluster/registry"
 	"mulleinrouter/internal/cluster/replication"
@@ -39,7 +42,7 @@
 // names of this protocol, such as callSeq, a "call" is a heartbeat or a DELETE of a server.
 func parseInstance(id string, body []byte, clock *replication.Clock) (registry.Instance, error) {
 	var none registry.Instance
-	if id == "" || len(id) > maxIDLength {
+	if !properID(id) {
 		return none, badRequest("no proper id")
 	}
 	var b heartbeatBody
@@ -81,6 +84,12 @@
 	return instance, nil
 }
 
+// properID reports whether an id can be an instance's. It is sent to servers in a header and to other processes in
+// frames, which are rejected as a whole if a text in them is not UTF-8.
+func properID(id string) bool {
+	return id != "" && len(id) <= maxIDLength && utf8.ValidString(id) && !strings.ContainsFunc(id, unicode.IsControl)
+}
+
 // putInstance records a heartbeat. If the server drains, agents are notified at once, but the heartbeat is acknowledged
 // only when enough disks hold the departure, so that it can't be lost.
 func (s *Server) putInstance(r *http.Request, body []byte) (reply, error) {
@@ -98,7 +107,7 @@
 // deleteInstance records that a server has ended.
 func (s *Server) deleteInstance(r *http.Request, _ []byte) (reply, error) {
 	id := r.PathValue("id")
-	if id == "" || len(id) > maxIDLength {
+	if !properID(id) {
 		return reply{}, badRequest("no proper id")
 	}
 	instance, acknowledged := s.options.Instances.Depart(id)
