Ingress: the operator's limits apply to the next request of a connection

What clients saw: after the operator had raised maxBodyBytes, kept connections went on to answer 413; maxHeaderBytes was not used, and heads of over 16 KiB got 431.

Cause: the limits were read when a connection was accepted.

Change: they are read for each request. maxHeaderBytes limits the head, with 4 KiB for the request line and 64 KiB at most; without it, 16 KiB.

--- a/internal/dataplane/http1/chunked.go
+++ b/internal/dataplane/http1/chunked.go
@@ -75,9 +75,9 @@
 }
 
 // readTrailer reads the trailer fields after the last chunk, and returns io.EOF. The fields are buffered, and limited
-// to MaxHead bytes, because a peer could otherwise send them without end.
+// to DefaultMaxHead bytes, because a peer could otherwise send them without end.
 func (c *chunkedReader) readTrailer() error {
-	for remaining := MaxHead; ; {
+	for remaining := DefaultMaxHead; ; {
 		line, err := c.readLine()
 		if err != nil || len(line) == 0 {
 			return cmp.Or(err, io.EOF)
--- a/internal/dataplane/http1/errors.go
+++ b/internal/dataplane/http1/errors.go
@@ -9,7 +9,7 @@
 	ErrStartLine = errors.New("broken start line")
 	// ErrHeader is a header field that is not well-formed.
 	ErrHeader = errors.New("broken header")
-	// ErrHeadTooLarge is a head of more than MaxHead bytes.
+	// ErrHeadTooLarge is a head of more bytes than Reader.MaxHead allows.
 	ErrHeadTooLarge = errors.New("start line and headers too large")
 	// ErrFraming is a body whose end is ambiguous, or a chunk or trailer that is not well-formed.
 	ErrFraming = errors.New("broken length or transfer coding")
--- a/internal/dataplane/http1/reader.go
+++ b/internal/dataplane/http1/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -11,9 +12,9 @@
 )
 
 const (
-	// MaxHead is the limit in bytes of a start line with its header. Without it, a peer could make the reader buffer a
-	// head without end.
-	MaxHead = 16 << 10
+	// DefaultMaxHead is the limit in bytes of a start line with its header if Reader.MaxHead is 0. Without a limit, a
+	// peer could make the reader buffer a head without end.
+	DefaultMaxHead = 16 << 10
 	// MaxBufferedBody is the size in bytes up to which a body is buffered in memory. A longer body is streamed.
 	MaxBufferedBody = 64 << 10
 	// DefaultMaxRequestBody is the limit in bytes of a request's body if Reader.MaxRequestBody is 0. A longer body is
@@ -28,8 +29,9 @@
 // Reader reads the HTTP messages that arrive on one connection.
 type Reader struct {
 	MaxRequestBody int64 // limit of a request's body in bytes; 0: DefaultMaxRequestBody
+	MaxHead        int64 // limit of a start line with its header in bytes; 0: DefaultMaxHead
 
-	limit io.LimitedReader // limits a head to MaxHead bytes; unlimited while no head is read
+	limit io.LimitedReader // limits the bytes of a head; unlimited while no head is read
 	buf   *bufio.Reader
 	text  textproto.Reader
 }
@@ -52,8 +54,10 @@
 // Buffered returns how many bytes were read from the connection beyond the end of the last message.
 func (rd *Reader) Buffered() int { return rd.buf.Buffered() }
 
-// limitHead limits the next head to MaxHead bytes, including the bytes that are buffered already.
-func (rd *Reader) limitHead() { rd.limit.N = MaxHead - int64(rd.buf.Buffered()) }
+// limitHead limits the next head, including the bytes that are buffered already.
+func (rd *Reader) limitHead() {
+	rd.limit.N = cmp.Or(rd.MaxHead, DefaultMaxHead) - int64(rd.buf.Buffered())
+}
 
 // removeHeadLimit removes the limit that limitHead set. Bodies have limits of their own.
 func (rd *Reader) removeHeadLimit() { rd.limit.N = math.MaxInt64 }
--- a/internal/dataplane/http1/reader_test.go
+++ b/internal/dataplane/http1/reader_test.go
@@ -123,10 +123,10 @@
 		{"chunk size", postChunked("-1\r\n"), nil, ErrFraming},
 		{"chunk end", postChunked("1\r\nabc\r\n"), nil, ErrFraming},
 		{"a trailer without a colon", postChunked("0\r\nno colon\r\n\r\n"), nil, ErrFraming},
-		{"an endless trailer", postChunked("0\r\n" + strings.Repeat("A: b\r\n", MaxHead)), nil, ErrFraming},
+		{"an endless trailer", postChunked("0\r\n" + strings.Repeat("A: b\r\n", DefaultMaxHead)), nil, ErrFraming},
 		{"unsupported expectation", post("Expect: x\r\nContent-Length: 1", ""), nil, ErrExpect},
-		{"endless line", "GET /" + strings.Repeat("a", MaxHead), nil, ErrHeadTooLarge},
-		{"endless headers", "GET / HTTP/1.1\r\n" + strings.Repeat("A: b\r\n", MaxHead), nil, ErrHeadTooLarge},
+		{"endless line", "GET /" + strings.Repeat("a", DefaultMaxHead), nil, ErrHeadTooLarge},
+		{"endless headers", "GET / HTTP/1.1\r\n" + strings.Repeat("A: b\r\n", DefaultMaxHead), nil, ErrHeadTooLarge},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			got, err := readRequest(NewReader(strings.NewReader(tc.in)))
--- a/internal/dataplane/ingress/conn.go
+++ b/internal/dataplane/ingress/conn.go
@@ -193,8 +193,26 @@
 	}
 }
 
+// updateLimits sets the limits in force for the next request.
+func (c *conn) updateLimits() {
+	d := &c.server.dialect
+	if d.MaxBody != nil {
+		c.reader.MaxRequestBody = d.MaxBody()
+	}
+	if d.MaxHead != nil {
+		c.reader.MaxHead = d.MaxHead()
+	}
+	if d.Timeouts != nil {
+		timeouts := d.Timeouts()
+		c.server.mu.Lock()
+		defer c.server.mu.Unlock()
+		c.machine.SetTimeouts(timeouts)
+	}
+}
+
 // readRequest reads the next request, with its body if that is short enough to be buffered.
 func (c *conn) readRequest() (*http1.Request, error) {
+	c.updateLimits()
 	c.enter(clientconn.ReadingHead)
 	r, err := c.reader.Head()
 	if err != nil {
--- a/internal/dataplane/ingress/dialect.go
+++ b/internal/dataplane/ingress/dialect.go
@@ -23,9 +23,11 @@
 	// retried. Otherwise the client gets 502.
 	ForwardFailures bool
 	// Timeouts returns the timeouts of a client's connection; nil: the defaults of clientconn. MaxBody returns the
-	// limit in bytes of a request's body; nil: the default of http1. Both are called for each new connection.
+	// limit in bytes of a request's body, and MaxHead that of its head; nil, or 0: the default of http1. They are called
+	// for each request, because a connection may outlast a change of the limits.
 	Timeouts func() *clientconn.Timeouts
 	MaxBody  func() int64
+	MaxHead  func() int64
 }
 
 // ingressFields are the fields on which the standalone ingress bases its decisions, or which it writes itself. They are
--- a/internal/dataplane/ingress/server.go
+++ b/internal/dataplane/ingress/server.go
@@ -147,9 +147,6 @@
 	if s.dialect.Timeouts != nil {
 		c.machine.SetTimeouts(s.dialect.Timeouts())
 	}
-	if s.dialect.MaxBody != nil {
-		c.reader.MaxRequestBody = s.dialect.MaxBody()
-	}
 	return c
 }
 
--- a/internal/proxy/translator.go
+++ b/internal/proxy/translator.go
@@ -19,6 +19,9 @@
 	maxTimeLeftMs     = 600_000.0 // longest time that a client may say it waits; a longer one is rejected
 	msPerSecond       = 1000
 
+	maxHeaderBytes   = 64 << 10 // greatest limit of a request's header that is observed; bounds the memory for it
+	requestLineBytes = 4 << 10  // allowance for the request line, which the operator's limit does not include
+
 	// replyAllowance is subtracted from the time that a client waits, in seconds, because the answer needs time to
 	// reach the client. At most half of the time is subtracted.
 	replyAllowance = 10.0 / 1000
@@ -71,7 +74,17 @@
 		ForwardFailures: true,
 		Timeouts:        t.clientTimeouts,
 		MaxBody:         func() int64 { return int64(t.control.table.Load().ClientLimits().BodyBytes) },
+		MaxHead:         func() int64 { return headLimit(t.control.table.Load().ClientLimits().HeaderBytes) },
+	}
+}
+
+// headLimit returns the limit of a request's head for the operator's limit of its header, both in bytes; 0 means the
+// default.
+func headLimit(headerBytes int) int64 {
+	if headerBytes == 0 {
+		return 0
 	}
+	return int64(min(headerBytes, maxHeaderBytes) + requestLineBytes)
 }
 
 // clientTimeouts returns the timeouts of clients' connections.
