Proxy: a streamed answer may not stall for long after its deadline

What clients saw: an answer of over 64 KiB that stalled was held for 10 s, past its route's deadlineMs.

Cause: the limit of a stall of a streamed body, 10 s, knows no deadline.

An answer that makes progress is forwarded to its end.

--- a/internal/dataplane/upstream/attempt.go
+++ b/internal/dataplane/upstream/attempt.go
@@ -53,7 +53,7 @@
 			Head:     end.head,
 		}
 		if p.streams(m, end.head) {
-			result.Stream = newStream(p, c, end.head)
+			result.Stream = newStream(p, c, end.head, deadline)
 			return result
 		}
 		if end.verdict.Reusable {
--- a/internal/dataplane/upstream/dialect.go
+++ b/internal/dataplane/upstream/dialect.go
@@ -21,6 +21,9 @@
 	// ExecutesFromHead means that a server may start to execute a request when its head has arrived, and not only when
 	// its body has. Once the head has been written, only an answer proves that the request was not executed.
 	ExecutesFromHead bool
+	// MaxStallAfterDeadline is how long the body of a streamed answer may make no progress once the deadline of the
+	// attempt has passed. 0: no shorter than before it.
+	MaxStallAfterDeadline time.Duration
 	// MinHoldIdle is the minimum time for which the last byte of a request is held back, if the request must run at
 	// most once and the connection has been idle. 0: no longer than on any other connection.
 	MinHoldIdle time.Duration
--- a/internal/dataplane/upstream/stream.go
+++ b/internal/dataplane/upstream/stream.go
@@ -12,7 +12,7 @@
 
 // MaxStall is how long a streamed body may make no progress, in either direction. An upload must also end by the
 // deadline of the attempt. That deadline does not apply to the body of an answer, so that a long transfer may go on,
-// and only a peer that stalls is disconnected.
+// and only a peer that stalls is disconnected; after the deadline sooner (Dialect.MaxStallAfterDeadline).
 const MaxStall = 10 * time.Second
 
 // ChunkSize is the maximum number of bytes of a streamed body that are buffered, in either direction.
@@ -33,20 +33,38 @@
 
 	pool     *Pool
 	conn     *conn
+	deadline time.Time // deadline of the attempt
 	body     *http1.Body
 	complete bool // whether the body was read to its end
 	closed   bool // whether Close was called
 }
 
 // newStream returns the body of an answer whose head has been read.
-func newStream(p *Pool, c *conn, head *http1.Response) *Stream {
+func newStream(p *Pool, c *conn, head *http1.Response, deadline time.Time) *Stream {
 	body := c.reader.Stream(head)
-	return &Stream{Length: body.Length, pool: p, conn: c, body: body}
+	return &Stream{Length: body.Length, pool: p, conn: c, deadline: deadline, body: body}
+}
+
+// stallEnd returns until when the next bytes must arrive.
+func (s *Stream) stallEnd(now time.Time) time.Time {
+	end := now.Add(MaxStall)
+	limit := s.pool.Dialect.MaxStallAfterDeadline
+	if limit == 0 {
+		return end
+	}
+	latest := s.deadline
+	if latest.Before(now) {
+		latest = now
+	}
+	if latest = latest.Add(limit); latest.Before(end) {
+		return latest
+	}
+	return end
 }
 
 // Read reads the bytes of the body that have arrived. It returns io.EOF when the body is complete.
 func (s *Stream) Read(p []byte) (int, error) {
-	s.conn.SetReadDeadline(time.Now().Add(MaxStall))
+	s.conn.SetReadDeadline(s.stallEnd(time.Now()))
 	n, err := s.body.Read(p)
 	if errors.Is(err, io.EOF) {
 		s.complete = true
