Histories: applications that give up a release acquire the lock again at once

Change: a release is sometimes given up after 50 ms, as by a crash, and without an answer the lock is requested again under the same name.

--- a/internal/control/coordination_mutants_test.go
+++ b/internal/control/coordination_mutants_test.go
@@ -11,7 +11,10 @@
 // The histories and the isolated leaseholder detect faults that are seeded into the tables and the service. Faults that
 // concern the tables or the replicas alone are detected by the tests of their packages.
 func TestCoordinationMutants(t *testing.T) {
-	for _, fault := range []string{"coordination/lock-expires-at-take-over", "coordination/fence-from-memory"} {
+	for _, fault := range []string{
+		"coordination/lock-expires-at-take-over", "coordination/fence-from-memory",
+		"coordination/delayed-release-ends-hold",
+	} {
 		t.Run(fault, func(t *testing.T) {
 			mutants.Seed(t, fault)
 			const maxSeeds = 50
--- a/internal/emulator/histories/workload.go
+++ b/internal/emulator/histories/workload.go
@@ -16,6 +16,7 @@
 	// CallTimeout is how long an application waits for an answer.
 	CallTimeout = time.Second
 
+	impatience     = 50 * time.Millisecond  // how long an application that is about to crash waits for an answer
 	watchWait      = 500 * time.Millisecond // how long the server of a watch call waits for an event
 	maxPutAttempts = 4                      // how often one put is sent at most until it gets a definite answer
 	maxRenewals    = 4                      // one more than the largest number of renewals of one lock
@@ -93,8 +94,13 @@
 
 // call makes a call and records it with its answer.
 func (w *Workload) call(c Call, method, path, body string) Call {
+	return w.callWithin(CallTimeout, c, method, path, body)
+}
+
+// callWithin is call with another timeout.
+func (w *Workload) callWithin(timeout time.Duration, c Call, method, path, body string) Call {
 	c.Sent = w.now()
-	status, text := w.send(method, path, body, CallTimeout)
+	status, text := w.send(method, path, body, timeout)
 	c.Received, c.Status = w.now(), status
 	var answer answerBody
 	if status == http.StatusOK || status == http.StatusPreconditionFailed {
@@ -154,9 +160,21 @@
 		}
 	}
 	if w.Random(3) > 0 {
-		c.Kind = Release
-		w.call(c, http.MethodDelete, path, fmt.Sprintf(`{"owner":%q,"fence":%d}`, owner, c.Fence))
+		w.release(c, path, owner)
+	}
+}
+
+// release releases a lock. Without an answer, the application acquires the lock again at once in one of two cases: it
+// has crashed just after it had sent the release, or given up after CallTimeout, and works on under its name.
+func (w *Workload) release(c Call, path, owner string) {
+	c.Kind = Release
+	patience := []time.Duration{impatience, CallTimeout}[w.Random(2)]
+	c = w.callWithin(patience, c, http.MethodDelete, path, fmt.Sprintf(`{"owner":%q,"fence":%d}`, owner, c.Fence))
+	if c.Status == http.StatusOK || w.Random(2) == 0 {
+		return
 	}
+	c.Kind = Acquire
+	w.call(c, http.MethodPost, path, fmt.Sprintf(`{"owner":%q,"holdMs":%d}`, owner, c.Hold.Milliseconds()))
 }
 
 // useCell reads a cell. In two of three cases it then puts a value, either unconditionally or on condition of the
