--- a/internal/cluster/coordination/locks.go
+++ b/internal/cluster/coordination/locks.go
@@ -21,8 +21,8 @@
 	holdMs  uint64  // the longest requested hold, milliseconds; after a take-over the hold lasts this long
 	expires float64 // end of the hold by this leaseholder's clock, in seconds
 	seq     uint64  // number of the batch with the record; 0 means that the record is of an earlier term
-	// prolongations is the number of times that the owner has been answered about the hold after its grant. A hold of an
-	// earlier term begins with 1, because renewals are not recorded.
+	// prolongations is the number of times that the owner has been answered about the hold after its grant. A hold of
+	// an earlier term begins with 1, because renewals are not recorded.
 	prolongations uint64
 }
 
@@ -103,11 +103,11 @@
 // release ends the hold that the request names by its owner and fence. A delayed or duplicated call for a hold that has
 // already ended has no effect.
 //
-// A hold keeps its fence when its owner prolongs it, so the fence does not tell whether a release was sent before or
-// after that. A release that was sent before it must have no effect, because the owner has counted itself the holder
-// since. If the hold was prolonged, the release therefore gets Unconfirmed, unless its caller is known to have sent it
-// after the last prolongation. Only a caller that still waits for the answer, and so has not prolonged the hold since,
-// can confirm the release.
+// Prolonging a hold does not change its fence, so the fence does not show whether a release was sent before or after a
+// prolongation. A release that was sent before it must have no effect, because the owner has counted itself the holder
+// since. Therefore the release of a prolonged hold gets Unconfirmed, unless its caller is known to have sent it after
+// the last prolongation. Only a caller that still waits for the answer, and so has not prolonged the hold since, can
+// confirm the release.
 func (t *Tables) release(r Request, now float64, next uint64) Outcome {
 	l := t.locks[r.Name]
 	if l == nil || l.owner != r.Owner || l.fence != r.Fence {
--- a/internal/cluster/coordination/request.go
+++ b/internal/cluster/coordination/request.go
@@ -47,8 +47,7 @@
 	SentAfter *HoldState `cbor:"10,keyasint,omitempty"`
 }
 
-// HoldState identifies the calls that have prolonged a hold so far, in the term of one leaseholder. A later prolongation
-// and a later term give it another value.
+// HoldState is a version of a hold. It changes whenever the owner prolongs the hold, and at each new term.
 type HoldState struct {
 	Term          uint64 `cbor:"1,keyasint"` // term of the leaseholder
 	Prolongations uint64 `cbor:"2,keyasint"` // calls of the owner after the grant that have prolonged the hold
--- a/internal/cluster/replication/item_parts.go
+++ b/internal/cluster/replication/item_parts.go
@@ -15,8 +15,8 @@
 	}
 }
 
-// maxUnsplitBody is the longest body of an item that is sent in one update, and the length of a part of a longer one, in
-// bytes. ChangesSince returns a longer item alone if it is asked for chunkBytes.
+// maxUnsplitBody is the longest body of an item that is sent in one update, and the length of a part of a longer one,
+// in bytes. ChangesSince returns a longer item alone if it is asked for chunkBytes.
 const maxUnsplitBody = chunkBytes
 
 // longItem returns the item of the changes that must be sent in parts; nil if there is none.
--- a/internal/cluster/replication/item_parts_test.go
+++ b/internal/cluster/replication/item_parts_test.go
@@ -90,17 +90,17 @@
 	return here, nil
 }
 
-// lengthsNearLimits are lengths of bodies around the length of a part and the limit of an item. From 85 bytes below that
-// limit on, a frame with the complete item is longer than MaxFrameWithoutParts.
+// lengthsNearLimits are lengths of bodies around the length of a part and the limit of an item. From 85 bytes below
+// that limit on, a frame with the complete item is longer than MaxFrameWithoutParts.
 var lengthsNearLimits = []int{
 	maxUnsplitBody - 1, maxUnsplitBody, maxUnsplitBody + 1, 3 * maxUnsplitBody, 3*maxUnsplitBody + 1, 500_000,
 	configuration.MaxBodyBytes - 3000, configuration.MaxBodyBytes - 700, configuration.MaxBodyBytes - 85,
 	configuration.MaxBodyBytes - 1, configuration.MaxBodyBytes,
 }
 
-// Guards against items that cut a subscriber off from its source for good: a frame that is longer than the subscriber
-// accepts, or takes so long on a slow link that the connection ends for lack of a sign of life. The item must arrive
-// complete over a single connection, before and after the subscription began, and later changes must follow.
+// Guards against items that disconnect a subscriber permanently, because their frame is longer than the subscriber
+// accepts, or takes longer than transport.IdleTimeout on a slow link. The item must arrive complete over a single
+// connection, and later changes must follow. One version is sent with the initial state, and one as a change.
 func TestLongItemsKeepTheConnection(t *testing.T) {
 	for _, bytesPerSecond := range []int{250_000, 100_000_000} { // the slow one is 2 Mbit/s
 		for _, length := range lengthsNearLimits {
@@ -156,7 +156,8 @@
 				t.Fatal(err)
 			}
 			defer nc.Close()
-			hello, err := transport.Append(nil, &transport.Frame{Hello: &transport.Hello{Node: "old", Class: ClassAgent}})
+			subscription := &transport.Hello{Node: "old", Class: ClassAgent}
+			hello, err := transport.Append(nil, &transport.Frame{Hello: subscription})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -200,7 +201,8 @@
 
 // Parts that do not form the body of the item are rejected, and never make the reader panic.
 func TestPartsThatFormNoBody(t *testing.T) {
-	key, other := configuration.Key{Kind: configuration.Tenants, Name: "a"}, configuration.Key{Kind: configuration.Limits}
+	key := configuration.Key{Kind: configuration.Tenants, Name: "a"}
+	other := configuration.Key{Kind: configuration.Limits}
 	part := func(offset, length int, data string) *transport.Update {
 		return &transport.Update{Part: &transport.ItemPart{
 			Key: key, Version: 1, Offset: offset, Length: length, Data: []byte(data),
--- a/internal/cluster/replication/source.go
+++ b/internal/cluster/replication/source.go
@@ -45,8 +45,8 @@
 	// registry.Registry.HeartbeatsSince). They are sent to control nodes; nil means that none are sent.
 	Heartbeats func(since uint64) (heartbeats []transport.Heartbeat, last uint64)
 
-	// OnItemLeftOut is called when an item is not sent to a subscriber of an earlier version, which would reject a frame
-	// of that length. May be nil.
+	// OnItemLeftOut is called when an item is not sent to a subscriber of an earlier version, which would reject a
+	// frame of that length. May be nil.
 	OnItemLeftOut func(node string, key configuration.Key)
 
 	cache   chunkCache
--- a/internal/cluster/transport/codec.go
+++ b/internal/cluster/transport/codec.go
@@ -13,9 +13,10 @@
 // Bounds of a frame in bytes, without its length prefix.
 const (
 	// MaxFrame bounds frames to and from an ingress. A source of an earlier version, which sends no parts of items, may
-	// send an item whose body has configuration.MaxBodyBytes together with its name, its history and the source's status.
+	// send an item whose body has configuration.MaxBodyBytes together with its name, its history and the source's
+	// status.
 	MaxFrame = MaxFrameWithoutParts + 64<<10
-	// MaxFrameWithoutParts bounds frames to an ingress of an earlier version, one whose Hello has no AcceptsParts.
+	// MaxFrameWithoutParts bounds frames to an ingress of an earlier version. Its Hello does not set AcceptsParts.
 	MaxFrameWithoutParts = 1 << 20
 
 	MaxControlFrame = 32 << 20 // frames between control nodes, because a first configuration is sent in one call
--- a/internal/control/coordination_histories_test.go
+++ b/internal/control/coordination_histories_test.go
@@ -71,7 +71,7 @@
 }
 
 // sendTo sends a call to a node and returns its answer, with the address of a redirect. The node reads the call after
-// its present pause, even if the caller has given up by then.
+// its current pause, even if the call has timed out by then.
 func (a *applications) sendTo(ctx context.Context, addr, method, path, body string) (
 	status int, text, location string,
 ) {
--- a/internal/control/coordination_release_test.go
+++ b/internal/control/coordination_release_test.go
@@ -46,7 +46,7 @@
 	frozen  int           // index of the frozen node among those of delayedReleases
 	freeze  time.Duration // how long the node is frozen
 	prolong string        // method of the call that prolongs the hold
-	before  time.Duration // time from the release, after which the owner gives it up or dies, to that call
+	before  time.Duration // timeout of the release, after which the owner makes that call
 }
 
 // Guards against a release that a frozen node keeps and that ends a later hold, whatever node is frozen, for however
--- a/internal/control/httpapi/releases.go
+++ b/internal/control/httpapi/releases.go
@@ -11,12 +11,12 @@
 )
 
 // A release must not end a hold that its owner has prolonged after sending the release (coordination.Tables). A node
-// cannot tell how long a release has been on its way, because it may have waited in the node while the process was
-// suspended. There are two proofs that a release was sent after the owner's last answer:
+// does not know when a release was sent, because the call may have been buffered while the process was suspended. There
+// are two proofs that a release was sent after the owner's last answer:
 //
 //   - The release arrives on the connection over which that answer was sent. Calls on one connection are handled in the
-//     order of their sending.
-//   - The caller follows a redirect that was sent after the answer. A caller that has given up, or died, does not.
+//     order in which they were sent.
+//   - The caller follows a redirect that was sent after the answer. A caller that timed out or crashed does not.
 
 // sentAfterParameter is the query parameter of a redirected release. It has the hold's state at the redirect.
 const sentAfterParameter = "sentAfter"
--- a/internal/control/proposals/compose.go
+++ b/internal/control/proposals/compose.go
@@ -21,8 +21,8 @@
 // its ballot and the electorate. If this node accepted a longer one, it could never complete it.
 const maxProposalBytes = transport.MaxControlFrame - 64<<10
 
-// errChangeTooLong rejects a change whose items do not fit into a proposal together with the histories of the items that
-// they replace.
+// errChangeTooLong rejects a change whose items do not fit into a proposal together with the histories of the items
+// that they replace.
 var errChangeTooLong = &configuration.RejectionError{
 	Status: http.StatusRequestEntityTooLarge,
 	Text:   "too long for one change: send its items in several calls",
@@ -69,8 +69,8 @@
 	return next, left
 }
 
-// rejectTooLong rejects the included change if its items are too long for a proposal. A change that is included together
-// with others is short.
+// rejectTooLong rejects the included change if its items are too long for a proposal. A change that is included
+// together with others is short.
 func rejectTooLong(items []configuration.Item, verdicts []consensus.Verdict) (
 	[]configuration.Item, []consensus.Verdict,
 ) {
--- a/internal/control/proposals/compose_test.go
+++ b/internal/control/proposals/compose_test.go
@@ -80,7 +80,8 @@
 				Ballot: consensus.Ballot{Round: 1 << 60, Node: "255.255.255.255:65535/18446744073709551615/1"},
 				Epoch:  1 << 60, Items: left, Voters: voters,
 			}
-			if _, err := transport.Append(nil, &transport.Frame{Accept: &transport.Accept{Proposal: proposal}}); err != nil {
+			accept := &transport.Accept{Proposal: proposal}
+			if _, err := transport.Append(nil, &transport.Frame{Accept: accept}); err != nil {
 				t.Errorf("not rejected, and cannot be sent: %v", err)
 			}
 		})
--- a/internal/control/shards/outbox.go
+++ b/internal/control/shards/outbox.go
@@ -69,8 +69,8 @@
 	}
 }
 
-// take removes and returns what is to be sent in the next frame: about maxBatchBytes, and at least one entry if there is
-// any. More reports that entries are left.
+// take removes and returns what is to be sent in the next frame: about maxBatchBytes, and at least one entry if there
+// is any. More reports that entries are left.
 func (o *outbox) take() (batch transport.Coordination, more bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/control/shards/outbox_test.go
+++ b/internal/control/shards/outbox_test.go
@@ -11,9 +11,9 @@
 	"mulleinrouter/internal/cluster/transport"
 )
 
-// Guards against a batch that is too long for a frame between control nodes: it is lost, queued again and lost again. So
-// a replica without any shard never got them, and a node with many watches never got their events. Each frame must be
-// short enough, and all entries must be sent once and in their order.
+// Guards against a batch that is too long for a frame between control nodes: it is lost, queued again and lost again.
+// So a replica without any shard never got them, and a node with many watches never got their events. Each frame must
+// be short enough, and all entries must be sent once and in their order.
 func TestOutboxFramesAreBounded(t *testing.T) {
 	var o outbox
 	o.wake = make(chan struct{}, 1)
--- a/internal/dataplane/ingress/answer.go
+++ b/internal/dataplane/ingress/answer.go
@@ -35,8 +35,8 @@
 // closes, because it is unknown where the next request would begin; "" if the connection itself ended.
 func (c *conn) rejectMessage(err error) (code string) { return c.rejectIncomplete(err, true) }
 
-// rejectIncomplete is rejectMessage for a message of which a part may have been forwarded already. A slow request gets
-// 408, which promises that it was not executed, only if a retry is safe.
+// rejectIncomplete is rejectMessage for a message that may have been forwarded in part. A slow request gets 408, which
+// promises that it was not executed, only if a retry is safe.
 func (c *conn) rejectIncomplete(err error, retryIsSafe bool) (code string) {
 	requestErr := messageError(err)
 	if requestErr == nil && c.closeCode() == clientconn.CodeSlowRequest {
--- a/internal/dataplane/ingress/dialect.go
+++ b/internal/dataplane/ingress/dialect.go
@@ -23,8 +23,8 @@
 	// retried. Otherwise the client gets 502.
 	ForwardFailures bool
 	// Timeouts returns the timeouts of a client's connection; nil: the defaults of clientconn. MaxBody returns the
-	// limit in bytes of a request's body, and MaxHead that of its head; nil, or 0: the default of http1. They are called
-	// for each request, because a connection may outlast a change of the limits.
+	// limit in bytes of a request's body, and MaxHead that of its head; nil, or 0: the default of http1. They are
+	// called for each request, because a connection may outlast a change of the limits.
 	Timeouts func() *clientconn.Timeouts
 	MaxBody  func() int64
 	MaxHead  func() int64
--- a/internal/dataplane/ingress/limits_test.go
+++ b/internal/dataplane/ingress/limits_test.go
@@ -13,8 +13,8 @@
 	"mulleinrouter/internal/decision"
 )
 
-// Guards against limits that a client's connection keeps from the time at which it was accepted: after they are changed,
-// the next request on the same connection is read by the new ones.
+// Guards against limits that a client's connection keeps from the time at which it was accepted: after they are
+// changed, the next request on the same connection is read by the new ones.
 func TestLimitsApplyToTheNextRequest(t *testing.T) {
 	var bodyLimit, headLimit, timeoutReads atomic.Int64
 	s, _ := newTestServer(decision.Settings{Gateways: 1, MaxAttempts: 1, Classes: []decision.Class{sendClass}},
@@ -31,15 +31,16 @@
 	nc := dial(t, l)
 	nc.SetDeadline(time.Now().Add(10 * time.Second))
 	r := bufio.NewReader(nc)
+	upload := "POST /no-such-path HTTP/1.1\r\nContent-Length: 1500\r\n\r\n" + strings.Repeat("x", 1500)
 	for _, step := range []struct {
 		body, head int64
 		request    string
 		want       int
 	}{
 		{1000, 0, "GET /ready HTTP/1.1\r\n\r\n", 200},
-		{2000, 0, "POST /api/1 HTTP/1.1\r\nContent-Length: 1500\r\n\r\n" + strings.Repeat("x", 1500), 404}, // no such path
+		{2000, 0, upload, 404},
 		{2000, 40 << 10, "GET /ready HTTP/1.1\r\nX-Long: " + strings.Repeat("x", 30<<10) + "\r\n\r\n", 200},
-		{1000, 0, "POST /api/1 HTTP/1.1\r\nContent-Length: 1500\r\n\r\n" + strings.Repeat("x", 1500), 413},
+		{1000, 0, upload, 413},
 	} {
 		bodyLimit.Store(step.body)
 		headLimit.Store(step.head)
--- a/internal/dataplane/ingress/upload_test.go
+++ b/internal/dataplane/ingress/upload_test.go
@@ -105,7 +105,7 @@
 	}
 }
 
-// Guards against a client's connection that nobody reads any more: the body was read completely, but its last part
+// Guards against a client's connection that is never read again: the body was read completely, but its last part
 // could not be written to a server that hangs, and the request was answered without it. The next request must be read,
 // also if the upload was interrupted as its last bytes were read.
 func TestUploadReadButNotWritten(t *testing.T) {
--- a/internal/dataplane/upstream/write.go
+++ b/internal/dataplane/upstream/write.go
@@ -46,8 +46,8 @@
 	return n == len(request)-split, err
 }
 
-// holdsLastByte reports whether the last byte of a request or of its head is to be held back. That delays the request, so it is done
-// only if a lost connection is likely or the request must run at most once.
+// holdsLastByte reports whether the last byte of a request or of its head is to be held back. That delays the request,
+// so it is done only if a lost connection is likely or the request must run at most once.
 func (p *Pool) holdsLastByte(c *conn, atMostOnce bool) bool {
 	now := p.now()
 	conditions := upstreamconn.WriteConditions{New: c.Uses() == 1, IdleFor: now - c.lastAnswer, AtMostOnce: atMostOnce}
--- a/internal/emulator/histories/workload.go
+++ b/internal/emulator/histories/workload.go
@@ -16,7 +16,7 @@
 	// CallTimeout is how long an application waits for an answer.
 	CallTimeout = time.Second
 
-	impatience     = 50 * time.Millisecond  // how long an application that is about to crash waits for an answer
+	crashTimeout   = 50 * time.Millisecond  // time from a call to the simulated crash of its application
 	watchWait      = 500 * time.Millisecond // how long the server of a watch call waits for an event
 	maxPutAttempts = 4                      // how often one put is sent at most until it gets a definite answer
 	maxRenewals    = 4                      // one more than the largest number of renewals of one lock
@@ -164,12 +164,12 @@
 	}
 }
 
-// release releases a lock. Without an answer, the application acquires the lock again at once in one of two cases: it
-// has crashed just after it had sent the release, or given up after CallTimeout, and works on under its name.
+// release releases a lock. If there is no answer, the application acquires the lock again at once in one of two cases,
+// with the same owner name. The timeout is CallTimeout or, as if the application crashed and restarted, much shorter.
 func (w *Workload) release(c Call, path, owner string) {
 	c.Kind = Release
-	patience := []time.Duration{impatience, CallTimeout}[w.Random(2)]
-	c = w.callWithin(patience, c, http.MethodDelete, path, fmt.Sprintf(`{"owner":%q,"fence":%d}`, owner, c.Fence))
+	timeout := []time.Duration{crashTimeout, CallTimeout}[w.Random(2)]
+	c = w.callWithin(timeout, c, http.MethodDelete, path, fmt.Sprintf(`{"owner":%q,"fence":%d}`, owner, c.Fence))
 	if c.Status == http.StatusOK || w.Random(2) == 0 {
 		return
 	}
--- a/internal/proxy/early_answers_test.go
+++ b/internal/proxy/early_answers_test.go
@@ -68,7 +68,8 @@
 					if err != nil {
 						return
 					}
-					id := request.Header.Get(headerAttemptID) // the letter selects close or reset, the number the length
+					// The letter of the ID selects close or reset, and the number the length of the answer.
+					id := request.Header.Get(headerAttemptID)
 					executed.add(id)
 					cut, _ := strconv.Atoi(id[1:5])
 					io.WriteString(nc, strings.ReplaceAll(answer, "{id}", id)[:cut])
@@ -79,14 +80,7 @@
 				})
 				for cut := range len(strings.ReplaceAll(answer, "{id}", "c0000")) {
 					for _, end := range []string{"c", "r"} {
-						id := fmt.Sprintf("%s%04d", end, cut)
-						status, err := answerToBeginning(t, front, id, body)
-						if ran := executed.of(id); ran != 1 {
-							t.Errorf("%s: executed %d times, want once", id, ran)
-						}
-						if promisesNotExecuted(status) || status == http.StatusMisdirectedRequest || status/100 == 2 && err == nil {
-							t.Errorf("%s: executed, and the client got %d, want 502 or an answer that is cut off", id, status)
-						}
+						checkBrokenAnswer(t, front, fmt.Sprintf("%s%04d", end, cut), body, executed)
 					}
 				}
 			})
@@ -94,6 +88,19 @@
 	}
 }
 
+// checkBrokenAnswer sends a request whose answer breaks off, and checks its answer and that it is executed once.
+func checkBrokenAnswer(t *testing.T, front, id string, body requestBody, executed *executions) {
+	t.Helper()
+	status, err := answerToBeginning(t, front, id, body)
+	if ran := executed.of(id); ran != 1 {
+		t.Errorf("%s: executed %d times, want once", id, ran)
+	}
+	promise := promisesNotExecuted(status) || status == http.StatusMisdirectedRequest
+	if success := status/100 == 2 && err == nil; promise || success {
+		t.Errorf("%s: executed, and the client got %d, want 502 or an answer that is cut off", id, status)
+	}
+}
+
 // answerToBeginning sends a request that must not run twice, with the beginning of its body, and reads the answer.
 func answerToBeginning(t *testing.T, front, id string, body requestBody) (status int, err error) {
 	t.Helper()
--- a/internal/proxy/server_protocol.go
+++ b/internal/proxy/server_protocol.go
@@ -9,12 +9,12 @@
 	"mulleinrouter/internal/dataplane/upstream"
 )
 
-// maxStallAfterDeadline is how long a streamed answer may stall once its route's deadline has passed. Half a second after
-// the deadline, the client must have a final answer or see that it breaks off (NEWS-18, CONFIG).
+// maxStallAfterDeadline is how long a streamed answer may stall once its route's deadline has passed. Half a second
+// after the deadline, the client must have a final answer or see that it breaks off (NEWS-18, CONFIG).
 const maxStallAfterDeadline = 250 * time.Millisecond
 
-// serverDialect is the protocol of the servers. They may answer before they have read a long body (NEWS-18, UNASKED), so
-// a request may be executed once its head has arrived.
+// serverDialect is the protocol of the servers. They may answer before they have read a long body (NEWS-18, UNASKED),
+// so a request may be executed once its head has arrived.
 var serverDialect = upstream.Dialect{
 	AppendHead: appendRequestHead, Meaning: classifyAnswer, IDField: headerAttemptID, ExecutesFromHead: true,
 	MaxStallAfterDeadline: maxStallAfterDeadline,
--- a/internal/proxy/tenants_test.go
+++ b/internal/proxy/tenants_test.go
@@ -8,10 +8,12 @@
 	"mulleinrouter/internal/cluster/configuration"
 )
 
-// Guards against requests that are served with a key that is not valid, because the last tenant was removed and the
-// configuration looks like one that never had any. A proxy that starts after the removal must decide the same.
+// Guards against requests that are served with an invalid key after the last tenant was removed, as if there had never
+// been a tenant. A proxy that starts after the removal must decide in the same way.
 func TestKeysAfterTheLastTenantIsRemoved(t *testing.T) {
-	const remove = `{"remove":{"customers":[{"name":"t1","generation":"0000ffff"},{"name":"t2","generation":"0000ffff"}]}}`
+	const remove = `{"remove":{"customers":[{"name":"t1","generation":"0000ffff"},` +
+		`{"name":"t2","generation":"0000ffff"}]}}`
+	const head = "GET /a/x HTTP/1.1\nHost: one.example\nX-Attempt-Id: i\nX-Time-Left-Ms: 900"
 	const back = `{"upsert":{"customers":{"t1":{"apiKeys":["k1"],"generation":"00010000"}}}}`
 	const noTenants = `{"upsert":{"services":{"s":{"healthPath":"/","generation":"00000001"}},"routes":{"r":{` +
 		`"authority":"one.example","pathPrefix":"/","routeKind":"idempotent","deadlineMs":1000,"backend":"s",` +
@@ -36,7 +38,7 @@
 				t.Run(fmt.Sprintf("%s, restarted %v, %q", name, restarted, authorization), func(t *testing.T) {
 					translator := newTestTranslator(t, true, true)
 					applyPatches(t, translator, c.patches, restarted)
-					request := requestHead(t, "GET /a/x HTTP/1.1\nHost: one.example\nX-Attempt-Id: i\nX-Time-Left-Ms: 900")
+					request := requestHead(t, head)
 					if authorization != "" {
 						request.Header.Set("Authorization", authorization)
 					}
--- a/internal/proxy/translator.go
+++ b/internal/proxy/translator.go
@@ -205,8 +205,8 @@
 }
 
 // needsTenant reports whether a request on a route that is not public needs the key of a tenant. While there are no
-// tenants, a request needs no key. But after the last tenant was removed, a request that has a key must not be served,
-// because the key may be the tenant's, or one that was never valid.
+// tenants, a request needs no key. But after the last tenant was removed, a request with a key must not be served: the
+// key is that of a removed tenant, or was never valid.
 func needsTenant(r *http1.Request, table *configuration.RoutingTable) bool {
 	hasKey := strings.HasPrefix(r.Header.Get(headerAuthorization), authScheme)
 	return table.HasTenants() || hasKey && table.HadTenants()
--- a/internal/proxy/translator_test.go
+++ b/internal/proxy/translator_test.go
@@ -304,7 +304,8 @@
 // The operator's limit of the header applies to the head, with an allowance for the request line, and within a bound.
 func TestHeadLimit(t *testing.T) {
 	for headerBytes, want := range map[int]int64{
-		0: 0, 1000: 1000 + requestLineBytes, 16384: 16384 + requestLineBytes, 1 << 30: maxHeaderBytes + requestLineBytes,
+		0: 0, 1000: 1000 + requestLineBytes, 16384: 16384 + requestLineBytes,
+		1 << 30: maxHeaderBytes + requestLineBytes,
 	} {
 		if got := headLimit(headerBytes); got != want {
 			t.Errorf("header of %d bytes: got a limit of %d, want %d", headerBytes, got, want)
