--- a/internal/cluster/replication/item_parts.go
+++ b/internal/cluster/replication/item_parts.go
@@ -15,9 +15,13 @@
 	}
 }
 
-// maxUnsplitBody is the longest body of an item that is sent in one update, and the length of a part of a longer one,
-// in bytes. ChangesSince returns a longer item alone if it is asked for chunkBytes.
-const maxUnsplitBody = chunkBytes
+const (
+	// maxUnsplitBody is the longest body of an item that is sent in one update, in bytes. ChangesSince returns a longer
+	// item alone if it is asked for chunkBytes.
+	maxUnsplitBody = chunkBytes
+	// partBytes is the length of the parts of a longer body. At 2 Mbit/s a part takes half of initialSyncIdle.
+	partBytes = 32 << 10
+)
 
 // longItem returns the item of the changes that must be sent in parts; nil if there is none.
 func (c *Changes) longItem() *configuration.Item {
@@ -29,8 +33,8 @@
 
 // splitBody returns the parts of the body of an item.
 func splitBody(item *configuration.Item) (parts []transport.ItemPart) {
-	for offset := 0; offset < len(item.Body); offset += maxUnsplitBody {
-		end := min(offset+maxUnsplitBody, len(item.Body))
+	for offset := 0; offset < len(item.Body); offset += partBytes {
+		end := min(offset+partBytes, len(item.Body))
 		parts = append(parts, transport.ItemPart{
 			Key: item.Key, Version: item.Version, Offset: offset, Length: len(item.Body), Data: item.Body[offset:end],
 		})
--- a/internal/cluster/replication/item_parts_test.go
+++ b/internal/cluster/replication/item_parts_test.go
@@ -93,7 +93,7 @@
 // lengthsNearLimits are lengths of bodies around the length of a part and the limit of an item. From 85 bytes below
 // that limit on, a frame with the complete item is longer than MaxFrameWithoutParts.
 var lengthsNearLimits = []int{
-	maxUnsplitBody - 1, maxUnsplitBody, maxUnsplitBody + 1, 3 * maxUnsplitBody, 3*maxUnsplitBody + 1, 500_000,
+	maxUnsplitBody - 1, maxUnsplitBody, maxUnsplitBody + 1, 5 * partBytes, 5*partBytes + 1, 500_000,
 	configuration.MaxBodyBytes - 3000, configuration.MaxBodyBytes - 700, configuration.MaxBodyBytes - 85,
 	configuration.MaxBodyBytes - 1, configuration.MaxBodyBytes,
 }
