Watches: no cap on an answer; read and decode the longest one instead

Frames of up to about 1 MiB may have 131,072 elements, because that many events fit in.

Evidence: TestLongestAnswerToWatch and TestManyShortEvents (65,537 events, 720,653 bytes: "exceeded max number of elements") failed before.

--- a/coordinationclient/client.go
+++ b/coordinationclient/client.go
@@ -15,10 +15,12 @@
 )
 
 const (
-	attemptTimeout   = time.Second            // for one attempt at one address
-	initialBackoff   = 20 * time.Millisecond  // before the second attempt; doubles after each further one
-	maxBackoff       = 500 * time.Millisecond // upper limit of the backoff
-	maxResponseBytes = 4 << 20                // largest part of a response body that is read, which bounds memory
+	attemptTimeout = time.Second            // for one attempt at one address
+	initialBackoff = 20 * time.Millisecond  // before the second attempt; doubles after each further one
+	maxBackoff     = 500 * time.Millisecond // upper limit of the backoff
+	// maxResponseBytes is the largest part of a response body that is read, which bounds memory. The events of a watch
+	// have 4 MiB, and JSON may need six bytes for one.
+	maxResponseBytes = 32 << 20
 )
 
 // Client calls control nodes over HTTP.
--- a/coordinationclient/client_test.go
+++ b/coordinationclient/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -156,3 +157,30 @@
 		t.Errorf("got %v up to %d, %v, calls %v", seen, until, err, s.calls)
 	}
 }
+
+// Guards against a watch that fails for good because its answer is longer than the client reads: all events that a shard
+// can have, with values that JSON encodes in six bytes each.
+func TestLongestAnswerToWatch(t *testing.T) {
+	value := strings.Repeat(`\u0001`, 4096)
+	const events = 1020
+	var body strings.Builder
+	body.WriteString(`{"log":[`)
+	for n := range events {
+		if n > 0 {
+			body.WriteString(",")
+		}
+		fmt.Fprintf(&body, `{"name":"g.a","payload":"%s","revision":%d}`, value, n+2)
+	}
+	fmt.Fprintf(&body, `],"revision":%d}`, events+1)
+	s := &scriptedTransport{answers: []scriptedAnswer{{0, 200, body.String()}}}
+	last, stop := uint64(0), errors.New("the last event")
+	until, err := New([]string{"a"}, s).Watch(t.Context(), "g.", 1, func(e Event) error {
+		if last = e.Revision; last == events+1 {
+			return stop
+		}
+		return nil
+	})
+	if !errors.Is(err, stop) || until != events {
+		t.Errorf("got %v up to %d, last event %d, want all %d", err, until, last, events)
+	}
+}
--- a/internal/cluster/coordination/cells.go
+++ b/internal/cluster/coordination/cells.go
@@ -8,14 +8,6 @@
 	"mulleinrouter/internal/mutants"
 )
 
-const (
-	// maxWatchEvents and maxWatchBytes bound the events of one answer to a watch, with their names and values. Its
-	// caller watches on from the answer's revision, so a watch that is far behind needs several answers, each of which
-	// fits into a frame between control nodes and into the memory of its caller.
-	maxWatchEvents = 1000
-	maxWatchBytes  = 256 << 10 // a single event may be longer
-)
-
 // cell is the present value of a small key.
 type cell struct {
 	value    string
@@ -149,8 +141,8 @@
 	return out
 }
 
-// watch returns the first committed events after a revision. If there are none, the watch is pending. With After 0 it
-// returns the present revision at once.
+// watch returns the committed events after a revision. If there are none, the watch is pending. With After 0 it returns
+// the present revision at once.
 func (t *Tables) watch(r Request, committed uint64) Outcome {
 	g := t.groups[r.Name]
 	if g == nil {
@@ -172,24 +164,11 @@
 	case r.After >= present:
 		return Outcome{Result: Result{Code: OK, Revision: r.After}, Pending: true}
 	}
-	return Outcome{Result: eventsAfter(events, r.After)}
-}
-
-// eventsAfter returns the first events after a revision, within the bounds of an answer. The result's revision is that of
-// the last one. There must be at least one.
-func eventsAfter(events []event, after uint64) Result {
-	result := Result{Code: OK}
-	bytes := 0
+	out := Outcome{Result: Result{Code: OK, Revision: present}}
 	for _, e := range events {
-		if e.revision <= after {
-			continue
+		if e.revision > r.After {
+			out.Result.Events = append(out.Result.Events, Event{Name: e.name, Value: e.value, Revision: e.revision})
 		}
-		bytes += e.size()
-		if n := len(result.Events); n > 0 && (n >= maxWatchEvents || bytes > maxWatchBytes) {
-			break
-		}
-		result.Events = append(result.Events, Event{Name: e.name, Value: e.value, Revision: e.revision})
-		result.Revision = e.revision
 	}
-	return result
+	return out
 }
--- a/internal/cluster/transport/codec.go
+++ b/internal/cluster/transport/codec.go
@@ -32,7 +32,7 @@
 const (
 	maxNesting              = 12      // levels of arrays and maps
 	maxMapPairs             = 64      // pairs in a map
-	maxArrayElements        = 1 << 16 // elements of an array
+	maxArrayElements        = 1 << 17 // elements of an array; the events of a watch have 11 bytes or more
 	maxControlArrayElements = 1 << 21 // elements of an array in a frame longer than MaxFrame
 )
 
--- a/internal/cluster/transport/transport_test.go
+++ b/internal/cluster/transport/transport_test.go
@@ -16,6 +16,7 @@
 
 	"mulleinrouter/internal/cluster/configuration"
 	"mulleinrouter/internal/cluster/consensus"
+	"mulleinrouter/internal/cluster/coordination"
 	"mulleinrouter/internal/cluster/registry"
 )
 
@@ -83,6 +84,25 @@
 	}
 }
 
+// Guards against frames that are within their limit but are rejected for their number of elements: the answer to a watch
+// with the shortest events, up to the length from which on more elements are allowed.
+func TestManyShortEvents(t *testing.T) {
+	for _, count := range []int{1 << 16, 1<<16 + 1, 90_000, 100_000, 150_000} {
+		events := make([]coordination.Event, count)
+		for n := range events {
+			events[n] = coordination.Event{Name: "g", Value: "v", Revision: uint64(n)}
+		}
+		reply := CoordinationReply{ID: 1, Status: CoordinationAnswered, Result: coordination.Result{Events: events}}
+		frame, err := Append(nil, &Frame{Coordination: &Coordination{Replies: []CoordinationReply{reply}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Read(bufio.NewReader(bytes.NewReader(frame)), MaxControlFrame); err != nil {
+			t.Errorf("%d events, %d bytes: %v", count, len(frame), err)
+		}
+	}
+}
+
 // Concurrent calls must get their own replies. A call without a reply must fail after its timeout, or as soon as the
 // connection has ended.
 func TestCalls(t *testing.T) {
