--- a/coordinationclient/client_test.go
+++ b/coordinationclient/client_test.go
@@ -158,8 +158,8 @@
 	}
 }
 
-// Guards against a watch that fails for good because its answer is longer than the client reads: all events that a shard
-// can have, with values that JSON encodes in six bytes each.
+// Guards against a watch that fails for good because its answer is longer than the client reads: all events that a
+// shard can have, with values that JSON encodes in six bytes each.
 func TestLongestAnswerToWatch(t *testing.T) {
 	value := strings.Repeat(`\u0001`, 4096)
 	const events = 1020
--- a/internal/cluster/transport/transport_test.go
+++ b/internal/cluster/transport/transport_test.go
@@ -84,8 +84,8 @@
 	}
 }
 
-// Guards against frames that are within their limit but are rejected for their number of elements: the answer to a watch
-// with the shortest events, up to the length from which on more elements are allowed.
+// Guards against frames that are within their limit but are rejected for their number of elements: the answer to a
+// watch with the shortest events, up to the length from which on more elements are allowed.
 func TestManyShortEvents(t *testing.T) {
 	for _, count := range []int{1 << 16, 1<<16 + 1, 90_000, 100_000, 150_000} {
 		events := make([]coordination.Event, count)
