--- /dev/null
+++ b/review/standin-2/lab/thread.go
@@ -0,0 +1,5 @@
+package lab
+
+import "runtime"
+
+func lockThread() { runtime.LockOSThread() }
