--- a/review/standin-2/lab/lab.go
+++ b/review/standin-2/lab/lab.go
@@ -142,6 +142,27 @@
 	return p
 }
 
+// AddCore prepares a further control node, in a zone, which is not among the seeds and has an empty disk.
+func (l *Lab) AddCore(zone int) *Process {
+	n := len(l.CoreNodes) + 1
+	p := l.process(fmt.Sprintf("core-z%d-2", zone), fmt.Sprintf("%s.0.%d", l.Options.Network, n), fmt.Sprintf("z%d", zone),
+		"control")
+	p.starts = 1 // the system has started before
+	l.CoreNodes = append(l.CoreNodes, p)
+	return p
+}
+
+// Wipe removes what the program has on its disk. The program must have ended.
+func (p *Process) Wipe() {
+	p.lab.Log("the disk of %s is lost", p.Name)
+	if err := os.RemoveAll(filepath.Join(p.dir, "data")); err != nil {
+		p.lab.Fatal("%v", err)
+	}
+	if err := os.MkdirAll(filepath.Join(p.dir, "data"), 0o700); err != nil {
+		p.lab.Fatal("%v", err)
+	}
+}
+
 // Control is the control address of a core node.
 func (p *Process) Control() string { return fmt.Sprintf("%s:%d", p.IP, p.lab.ControlPort) }
 
@@ -265,7 +286,7 @@
 		p.lab.Fatal("start %s: %v", p.role, err)
 	}
 	p.done = done
-	p.lab.Log("start %s on %s (%s), start %d", p.role, p.Name, p.IP, p.starts)
+	p.lab.Log("start %s on %s (%s)", p.role, p.Name, p.IP)
 }
 
 // Signal sends a signal to the program.
