--- a/review/standin-2/cmd/watchreplies/main.go
+++ b/review/standin-2/cmd/watchreplies/main.go
@@ -20,13 +20,13 @@
 
 const (
 	groups     = 24
-	waitMs     = 10_000
-	settle     = 8 * time.Second // from the first puts until the applications begin to watch
-	killAfter  = 4 * time.Second // after the applications have begun to watch
-	backAfter  = 500 * time.Millisecond
-	quietFor   = 6000 * time.Millisecond // after the applications have begun to watch, nobody puts
-	putEvery   = 120 * time.Millisecond
-	watchFor   = 16 * time.Second // after the restart
+	waitMs     = 2000
+	settle     = 8 * time.Second        // from the first puts until the applications begin to watch
+	killAfter  = 300 * time.Millisecond // after the applications have begun to watch
+	backAfter  = 300 * time.Millisecond
+	quietFor   = 1200 * time.Millisecond // after the applications have begun to watch, nobody puts
+	putEvery   = 20 * time.Millisecond
+	watchFor   = 10 * time.Second // after the restart
 	putsBefore = 1                // of group 1; each next group has one more
 )
 
