--- a/review/standin-2/cmd/corereplaced/main.go
+++ b/review/standin-2/cmd/corereplaced/main.go
@@ -31,7 +31,7 @@
 }
 
 func main() {
-	trouble := os.Getenv("TROUBLE") != "0"
+	faulty := os.Getenv("TROUBLE") != "0"
 	l := lab.New(os.Args[1], os.Args[2], lab.Options{
 		Network: "127.62", Core: 3, Clauses: "base,drain,config,cost,retry,recover,tenants,quota",
 	})
@@ -57,7 +57,7 @@
 	if !r.patch("generation 00000009 of r-1", change, 10*time.Second) {
 		l.Fatal("the change was not taken")
 	}
-	if trouble {
+	if faulty {
 		r.loseCore()
 	}
 	time.Sleep(recovery)
--- a/review/standin-2/cmd/watchreplies/main.go
+++ b/review/standin-2/cmd/watchreplies/main.go
@@ -24,7 +24,7 @@
 	settle     = 8 * time.Second        // from the first puts until the applications begin to watch
 	killAfter  = 300 * time.Millisecond // after the applications have begun to watch
 	backAfter  = 300 * time.Millisecond
-	quietFor   = 1200 * time.Millisecond // after the applications have begun to watch, nobody puts
+	idleFor   = 1200 * time.Millisecond // after the applications have begun to watch, nobody puts
 	putEvery   = 20 * time.Millisecond
 	watchFor   = 10 * time.Second // after the restart
 	putsBefore = 1                // of group 1; each next group has one more
@@ -56,7 +56,7 @@
 }
 
 func main() {
-	trouble := os.Getenv("TROUBLE") != "0"
+	faulty := os.Getenv("TROUBLE") != "0"
 	l := lab.New(os.Args[1], os.Args[2], lab.Options{
 		Network: "127.61", Core: 3, Clauses: "base,drain,config,cost,retry,recover,tenants,quota,coord",
 	})
@@ -78,9 +78,9 @@
 		watchers.Go(func() { r.watch(g) })
 	}
 	r.Log("applications watch %d groups through %s", groups, observed.Name)
-	go r.writer(time.Now().Add(quietFor))
+	go r.writer(time.Now().Add(idleFor))
 	time.Sleep(killAfter)
-	if trouble {
+	if faulty {
 		observed.Kill()
 		time.Sleep(backAfter)
 		observed.Start()
@@ -88,7 +88,7 @@
 	time.Sleep(watchFor)
 	close(r.stop)
 	watchers.Wait()
-	code := r.judge()
+	code := r.evaluate()
 	l.Close()
 	os.Exit(code)
 }
@@ -197,8 +197,8 @@
 	}
 }
 
-// judge checks each answer to a watch: its events are puts of the group, they rise, and none is missing in its span.
-func (r *run) judge() (code int) {
+// evaluate checks each answer to a watch: its events are puts of the group, they rise, and none is missing in its span.
+func (r *run) evaluate() (code int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	broken := func(s span, format string, args ...any) {
@@ -226,7 +226,7 @@
 			}
 		}
 	}
-	r.Log("%d answers to watches judged, exit %d", len(r.spans), code)
+	r.Log("%d answers to watches evaluated, exit %d", len(r.spans), code)
 	if len(r.spans) == 0 {
 		return 2
 	}
