--- a/review/standin-2/cmd/watchreplies/main.go
+++ b/review/standin-2/cmd/watchreplies/main.go
@@ -24,7 +24,7 @@
 	settle     = 8 * time.Second        // from the first puts until the applications begin to watch
 	killAfter  = 300 * time.Millisecond // after the applications have begun to watch
 	backAfter  = 300 * time.Millisecond
-	idleFor   = 1200 * time.Millisecond // after the applications have begun to watch, nobody puts
+	idleFor    = 1200 * time.Millisecond // after the applications have begun to watch, nobody puts
 	putEvery   = 20 * time.Millisecond
 	watchFor   = 10 * time.Second // after the restart
 	putsBefore = 1                // of group 1; each next group has one more
