Send the reply to a forwarded call only to the process that made the call

Cause: replies are one-way frames addressed to a node, and each process of a node numbers its calls from 1, so the reply to a call of the former process was taken for the reply to the call of the new process with that number. Change: the leaseholder remembers the incarnation whose connection brought the call, and sends the reply only over a connection to that process (Client.SendTo). A connection ends with either process, so no other process can get it. Nothing changes on the wire.

--- a/internal/cluster/replication/client.go
+++ b/internal/cluster/replication/client.go
@@ -122,6 +122,21 @@
 	return conn.Send(frame)
 }
 
+// SendTo sends a one-way frame to one process of the source, which is identified by its incarnation. A connection ends
+// with either of its processes, so no other process at the same address receives the frame.
+func (c *Client) SendTo(incarnation uint64, frame *transport.Frame) error {
+	c.mu.Lock()
+	conn, current := c.conn, c.state.Incarnation
+	c.mu.Unlock()
+	if conn == nil {
+		return ErrNotConnected
+	}
+	if current != incarnation {
+		return ErrOtherProcess
+	}
+	return conn.Send(frame)
+}
+
 // Run maintains the subscription until the context ends. Just after the start, after a lost connection and after
 // RetryNow it connects eagerly (see dialEagerly). Then the backoff grows from 100 ms to a second, with jitter, so that
 // clients that lost their sources at the same time do not all reconnect at the same time. A proxy does not connect
--- a/internal/control/coordination.go
+++ b/internal/control/coordination.go
@@ -18,10 +18,10 @@
 		return
 	}
 	n.shards = shards.New(shards.Options{
-		Self:    n.self,
-		Seed:    n.incarnation,
-		History: n.settings.Bounds.History,
-		Peers:   n.peers,
+		Self:        n.self,
+		Incarnation: n.incarnation,
+		History:     n.settings.Bounds.History,
+		Peers:       n.peers,
 		Electorate: func() consensus.Electorate {
 			base, _ := n.replica.Base()
 			return base.Electorate
--- a/internal/control/coordination_isolation_test.go
+++ b/internal/control/coordination_isolation_test.go
@@ -9,14 +9,21 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"mulleinrouter/internal/cluster/coordination"
 )
 
+// shardOfLock returns the number of a lock's shard.
+func shardOfLock(c *testCluster, lock string) uint32 {
+	return c.nodes[c.seeds[0]].shards.ShardOf(coordination.Request{Kind: coordination.AcquireLock, Name: lock})
+}
+
 // leaseholderOfLockL returns the node that holds the lease of the shard of lock "l", or "" if there is none. It is the
 // only node that answers calls to that shard by itself.
 func leaseholderOfLockL(c *testCluster) string {
 	for _, addr := range c.seeds {
 		for _, status := range c.nodes[addr].shards.Status() {
-			if status.Lease && status.Number == c.nodes[addr].shards.ShardOf("l") {
+			if status.Lease && status.Number == shardOfLock(c, "l") {
 				return addr
 			}
 		}
@@ -26,9 +33,8 @@
 
 // otherLockInShardOfL returns the name of another lock in the shard of lock "l".
 func otherLockInShardOfL(c *testCluster) string {
-	shards := c.nodes[c.seeds[0]].shards
 	for n := 0; ; n++ {
-		if name := fmt.Sprint("sibling-", n); shards.ShardOf(name) == shards.ShardOf("l") {
+		if name := fmt.Sprint("sibling-", n); shardOfLock(c, name) == shardOfLock(c, "l") {
 			return name
 		}
 	}
--- a/internal/control/coordination_mutants_test.go
+++ b/internal/control/coordination_mutants_test.go
@@ -41,3 +41,14 @@
 		})
 	}
 }
+
+// The restarted caller detects replies that are sent to whichever process of a node is connected.
+func TestRestartedCallerFindsMutant(t *testing.T) {
+	const scenarios = 3
+	mutants.Seed(t, "shards/replies-to-any-process")
+	wrong := repliesOfFormerProcess(t)
+	if len(wrong) != scenarios {
+		t.Errorf("found in %d of %d scenarios: %q", len(wrong), scenarios, wrong)
+	}
+	t.Log(wrong)
+}
--- a/internal/control/coordination_test.go
+++ b/internal/control/coordination_test.go
@@ -153,7 +153,7 @@
 		defer c.stopAll()
 		advance(3 * time.Second)
 		from := leaseholderOfLockL(c)
-		number := c.nodes[from].shards.ShardOf("l")
+		number := shardOfLock(c, "l")
 		others := slices.DeleteFunc(slices.Clone(c.seeds), func(addr string) bool { return addr == from })
 		move := func(at, to string) (int, string) {
 			return c.call(at, "POST", "/shards/transfer", fmt.Sprintf(`{"shard":%d,"to":%q}`, number, to))
--- a/internal/control/internal_server.go
+++ b/internal/control/internal_server.go
@@ -12,6 +12,7 @@
 	"mulleinrouter/internal/cluster/retry"
 	"mulleinrouter/internal/cluster/transport"
 	"mulleinrouter/internal/control/ingresslease"
+	"mulleinrouter/internal/control/shards"
 )
 
 // acceptRetryInterval is the pause after a failed accept. It prevents a busy loop when the process is out of file
@@ -54,7 +55,8 @@
 	case replication.ClassControl:
 		conn.SetMaxFrame(transport.MaxControlFrame)
 		n.subscribeBack(ctx, wg, hello)
-		handle := func(request *transport.Frame) *transport.Frame { return n.handlePeer(request, hello.ControlAddr) }
+		peer := shards.Process{Addr: hello.ControlAddr, Incarnation: hello.Incarnation}
+		handle := func(request *transport.Frame) *transport.Frame { return n.handlePeer(request, peer) }
 		_ = n.source.Serve(conn, hello, handle)
 	case replication.ClassAgent, replication.ClassProxy:
 		_ = n.source.Serve(conn, hello, n.counters.handle)
@@ -75,9 +77,9 @@
 	p.RetryNow() // the peer is running now; a dial that began before it was might run into its time-out
 }
 
-// handlePeer handles a call of another control node. It returns the answer, or nil if the call gets none. An empty
+// handlePeer handles a call of a process of another control node. It returns the answer, or nil if the call gets none. An empty
 // frame is an answer without a result.
-func (n *Node) handlePeer(request *transport.Frame, from string) *transport.Frame {
+func (n *Node) handlePeer(request *transport.Frame, from shards.Process) *transport.Frame {
 	answer := &transport.Frame{}
 	switch {
 	case request.CounterAdd != nil:
@@ -97,13 +99,13 @@
 		}
 	case request.Accept != nil:
 		proposal := request.Accept.Proposal
-		fetch := func() { n.fetcher.Fetch(from, proposal.Epoch-1) }
+		fetch := func() { n.fetcher.Fetch(from.Addr, proposal.Epoch-1) }
 		if accepted := n.replica.Accept(proposal, fetch); accepted != nil {
 			answer.Accepted = &transport.Accepted{Accepted: *accepted}
 		}
 	case request.Chosen != nil:
 		if p := request.Chosen.Proposal; !n.replica.Learn(p.Ballot, p.Epoch) {
-			n.fetcher.Fetch(from, p.Epoch)
+			n.fetcher.Fetch(from.Addr, p.Epoch)
 		}
 	case request.CatchUpRequest != nil:
 		answer.CatchUpChunk = n.replica.Chunk(request.CatchUpRequest, n.instances.PersistedAfter)
--- a/internal/control/peers/set.go
+++ b/internal/control/peers/set.go
@@ -148,6 +148,16 @@
 	return p.client.Send(frame)
 }
 
+// SendTo sends a one-way frame to one process of a peer, which is identified by its incarnation. If the peer has been
+// restarted since, the frame is dropped. Otherwise SendTo is like Send.
+func (s *Set) SendTo(addr string, incarnation uint64, frame *transport.Frame) error {
+	p := s.Find(addr)
+	if p == nil {
+		return replication.ErrNotConnected
+	}
+	return p.client.SendTo(incarnation, frame)
+}
+
 // Broadcast calls all peers without waiting for answers, which do not extend the majority lease. Each call needs a
 // separate frame, made by newRequest.
 func (s *Set) Broadcast(timeout time.Duration, newRequest func() *transport.Frame) {
--- a/internal/control/shards/calls.go
+++ b/internal/control/shards/calls.go
@@ -219,6 +219,20 @@
 	return result, "", ErrUnknownOutcome
 }
 
+// firstCall returns the number after which a process numbers the calls that it forwards. A node of an earlier version
+// sends its replies to whichever process of the caller is connected, so the numbers of two processes must differ too:
+// those of earlier versions begin at 0, all others at a random number in the upper half of the range.
+func firstCall(incarnation uint64) uint64 {
+	if mutants.On("shards/replies-to-any-process") {
+		return 0
+	}
+	const (
+		stream    = 1
+		upperHalf = 1 << 63
+	)
+	return rand.NewPCG(incarnation, stream).Uint64() | upperHalf
+}
+
 func (s *Service) removeForward(id uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -235,9 +249,9 @@
 	}
 }
 
-// serveForwarded evaluates a call of another node in a new goroutine. If maxForwardedInFlight are being evaluated
+// serveForwarded evaluates a call of a process of another node in a new goroutine, and replies to that process only. If maxForwardedInFlight are being evaluated
 // already, it rejects the call.
-func (s *Service) serveForwarded(from string, call transport.CoordinationCall) {
+func (s *Service) serveForwarded(from Process, call transport.CoordinationCall) {
 	s.mu.Lock()
 	s.forwardedInFlight++
 	busy := s.forwardedInFlight > maxForwardedInFlight
@@ -247,13 +261,13 @@
 	s.mu.Unlock()
 	if busy {
 		refusal := coordination.Result{Code: coordination.TooManyOpen}
-		s.outbox(from).addReply(transport.CoordinationReply{
+		s.outbox(from.Addr).addReply(from.Incarnation, transport.CoordinationReply{
 			ID: call.ID, Status: transport.CoordinationAnswered, Result: refusal,
 		})
 		return
 	}
 	s.start(func() {
-		s.outbox(from).addReply(s.evaluateForwarded(call))
+		s.outbox(from.Addr).addReply(from.Incarnation, s.evaluateForwarded(call))
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.forwardedInFlight--
--- a/internal/control/shards/outbox.go
+++ b/internal/control/shards/outbox.go
@@ -1,10 +1,12 @@
 package shards
 
 import (
+	"slices"
 	"sync"
 
 	"mulleinrouter/internal/cluster/shard"
 	"mulleinrouter/internal/cluster/transport"
+	"mulleinrouter/internal/mutants"
 )
 
 // maxQueued limits the messages, calls and replies that wait for one peer. Further ones are dropped, as on a failing
@@ -22,9 +24,23 @@
 // outbox queues messages, calls and replies for one peer. What is queued while a frame is being written is sent in the
 // next frames.
 type outbox struct {
-	mu      sync.Mutex // guards waiting
-	waiting transport.Coordination
-	wake    chan struct{} // capacity 1; signals that something is waiting
+	mu       sync.Mutex // guards the fields below
+	messages []shard.Message
+	calls    []transport.CoordinationCall
+	replies  []queuedReply
+	wake     chan struct{} // capacity 1; signals that something is waiting
+}
+
+// queuedReply is a reply and the incarnation of the process that made the call.
+type queuedReply struct {
+	caller uint64
+	reply  transport.CoordinationReply
+}
+
+// batch is what is sent to a peer in one frame.
+type batch struct {
+	contents transport.Coordination
+	caller   uint64 // incarnation of the only process that may receive the replies, if there are any
 }
 
 // outbox returns the outbox of a peer, and creates it on first use.
@@ -43,45 +59,67 @@
 }
 
 func (o *outbox) addMessage(m shard.Message) {
-	o.add(func(c *transport.Coordination) { c.Messages = append(c.Messages, m) })
+	o.add(func() { o.messages = append(o.messages, m) })
 }
 
 func (o *outbox) addCall(call transport.CoordinationCall) {
-	o.add(func(c *transport.Coordination) { c.Calls = append(c.Calls, call) })
+	o.add(func() { o.calls = append(o.calls, call) })
 }
 
-func (o *outbox) addReply(reply transport.CoordinationReply) {
-	o.add(func(c *transport.Coordination) { c.Replies = append(c.Replies, reply) })
+// addReply queues the reply to a call of the peer's process with the incarnation caller. No other process of the peer
+// receives the reply, because call numbers are unique within a process only.
+func (o *outbox) addReply(caller uint64, reply transport.CoordinationReply) {
+	o.add(func() { o.replies = append(o.replies, queuedReply{caller, reply}) })
 }
 
 // add queues one message, call or reply, unless maxQueued of them are waiting.
-func (o *outbox) add(queue func(*transport.Coordination)) {
+func (o *outbox) add(queue func()) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	w := &o.waiting
-	if len(w.Messages)+len(w.Calls)+len(w.Replies) >= maxQueued {
+	if o.length() >= maxQueued {
 		return
 	}
-	queue(w)
+	queue()
 	select {
 	case o.wake <- struct{}{}:
 	default:
 	}
 }
 
+func (o *outbox) length() int { return len(o.messages) + len(o.calls) + len(o.replies) }
+
 // take removes and returns what is to be sent in the next frame: about maxBatchBytes, and at least one entry if there
-// is any. More reports that entries are left.
-func (o *outbox) take() (batch transport.Coordination, more bool) {
+// is any. All replies in it are for the same process. More reports that entries are left.
+func (o *outbox) take() (b batch, more bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	w, left := &o.waiting, maxBatchBytes
-	batch.Messages, w.Messages = split(w.Messages, messageBytes, &left)
-	batch.Calls, w.Calls = split(w.Calls, callBytes, &left)
-	batch.Replies, w.Replies = split(w.Replies, replyBytes, &left)
-	if more = len(w.Messages)+len(w.Calls)+len(w.Replies) > 0; !more {
-		*w = transport.Coordination{} // releases the memory of a long queue
+	left := maxBatchBytes
+	b.contents.Messages, o.messages = split(o.messages, messageBytes, &left)
+	b.contents.Calls, o.calls = split(o.calls, callBytes, &left)
+	b.caller, b.contents.Replies = o.takeReplies(&left)
+	if more = o.length() > 0; !more {
+		o.messages, o.calls, o.replies = nil, nil, nil // releases the memory of a long queue
 	}
-	return batch, more
+	return b, more
+}
+
+// takeReplies removes and returns the first replies that are for the same process, as far as they are within the bytes
+// that are left.
+func (o *outbox) takeReplies(left *int) (caller uint64, replies []transport.CoordinationReply) {
+	if len(o.replies) == 0 {
+		return 0, nil
+	}
+	caller = o.replies[0].caller
+	sameCaller := slices.IndexFunc(o.replies, func(q queuedReply) bool { return q.caller != caller })
+	if sameCaller < 0 {
+		sameCaller = len(o.replies)
+	}
+	first, _ := split(o.replies[:sameCaller], queuedReplyBytes, left)
+	o.replies = o.replies[len(first):]
+	for _, queued := range first {
+		replies = append(replies, queued.reply)
+	}
+	return caller, replies
 }
 
 // split returns the first entries whose size is within the bytes that are left, and the rest. The entry that exceeds
@@ -114,9 +152,9 @@
 	return entryOverhead + len(c.Request.Name) + len(c.Request.Owner) + len(c.Request.Value)
 }
 
-func replyBytes(r *transport.CoordinationReply) int {
-	bytes := entryOverhead + len(r.Result.Value)
-	for _, event := range r.Result.Events {
+func queuedReplyBytes(q *queuedReply) int {
+	bytes := entryOverhead + len(q.reply.Result.Value)
+	for _, event := range q.reply.Result.Events {
 		bytes += entryOverhead + len(event.Name) + len(event.Value)
 	}
 	return bytes
@@ -131,19 +169,35 @@
 			return
 		}
 		for more := true; more && s.ctx.Err() == nil; {
-			var batch transport.Coordination
-			batch, more = o.take()
-			// An error is ignored, because replicas and callers send again what is lost.
-			_ = s.options.Peers.Send(addr, &transport.Frame{Coordination: &batch})
+			var next batch
+			next, more = o.take()
+			s.send(addr, next)
 		}
 	}
 }
 
-// Receive processes the messages, calls and replies of another control node. It does not block.
-func (s *Service) Receive(from string, c *transport.Coordination) {
+// send sends a batch to a peer. If the process that the replies are for has ended, they are dropped and the rest is
+// sent to its successor. Other errors are ignored, because replicas and callers send again what is lost.
+func (s *Service) send(addr string, b batch) {
+	frame := &transport.Frame{Coordination: &b.contents}
+	if len(b.contents.Replies) == 0 || mutants.On("shards/replies-to-any-process") {
+		_ = s.options.Peers.Send(addr, frame)
+		return
+	}
+	if s.options.Peers.SendTo(addr, b.caller, frame) == nil {
+		return
+	}
+	b.contents.Replies = nil
+	if len(b.contents.Messages)+len(b.contents.Calls) > 0 {
+		_ = s.options.Peers.Send(addr, frame)
+	}
+}
+
+// Receive processes the messages, calls and replies of a process of another control node. It does not block.
+func (s *Service) Receive(from Process, c *transport.Coordination) {
 	for _, m := range c.Messages {
 		if hosts := s.hosts.Load(); hosts != nil && m.Shard < Count {
-			m.From = from
+			m.From = from.Addr
 			hosts[m.Shard].step(m)
 		}
 	}
--- a/internal/control/shards/outbox_test.go
+++ b/internal/control/shards/outbox_test.go
@@ -32,19 +32,19 @@
 		events[n] = coordination.Event{Name: "g.a", Value: strings.Repeat("v", coordination.MaxValueBytes)}
 	}
 	for n := range uint64(answers) {
-		o.addReply(transport.CoordinationReply{ID: n, Result: coordination.Result{Events: events}})
+		o.addReply(1, transport.CoordinationReply{ID: n, Result: coordination.Result{Events: events}})
 	}
 	var sent transport.Coordination
 	for more := true; more; {
-		var batch transport.Coordination
-		batch, more = o.take()
-		if frame, err := transport.Append(nil, &transport.Frame{Coordination: &batch}); err != nil {
+		var b batch
+		b, more = o.take()
+		if frame, err := transport.Append(nil, &transport.Frame{Coordination: &b.contents}); err != nil {
 			t.Fatalf("%d messages, %d calls, %d replies: %d bytes, %v",
-				len(batch.Messages), len(batch.Calls), len(batch.Replies), len(frame), err)
+				len(b.contents.Messages), len(b.contents.Calls), len(b.contents.Replies), len(frame), err)
 		}
-		sent.Messages = append(sent.Messages, batch.Messages...)
-		sent.Calls = append(sent.Calls, batch.Calls...)
-		sent.Replies = append(sent.Replies, batch.Replies...)
+		sent.Messages = append(sent.Messages, b.contents.Messages...)
+		sent.Calls = append(sent.Calls, b.contents.Calls...)
+		sent.Replies = append(sent.Replies, b.contents.Replies...)
 	}
 	if len(sent.Messages) != states || len(sent.Calls) != calls || len(sent.Replies) != answers {
 		t.Fatalf("sent %d messages, %d calls, %d replies", len(sent.Messages), len(sent.Calls), len(sent.Replies))
--- a/internal/control/shards/service.go
+++ b/internal/control/shards/service.go
@@ -29,17 +29,26 @@
 	minTermAgeSeconds = 3.0
 )
 
+// Process is one process of a control node. A node that is restarted continues as another process.
+type Process struct {
+	Addr        string // control address of the node
+	Incarnation uint64 // identifies the process; no other process has had the same number
+}
+
 // Peers reaches the other control nodes (peers.Set).
 type Peers interface {
+	// Send sends a frame to whichever process of a node is connected.
 	Send(addr string, frame *transport.Frame) error
+	// SendTo sends a frame to one process of a node. It must never deliver the frame to another process of the node.
+	SendTo(addr string, incarnation uint64, frame *transport.Frame) error
 }
 
 // Options are the settings and dependencies of a Service.
 type Options struct {
-	Self    string  // own control address
-	Seed    uint64  // seed of the random delays of the replicas
-	History float64 // time for which events are kept for watches, seconds
-	Peers   Peers
+	Self        string  // own control address
+	Incarnation uint64  // identifies this process, and is the seed of its random choices
+	History     float64 // time for which events are kept for watches, seconds
+	Peers       Peers
 	// Electorate returns the voters of the configuration. The voters of the shards are changed to these.
 	Electorate func() consensus.Electorate
 	Clock      func() time.Duration // monotonic clock
@@ -71,7 +80,8 @@
 func New(o Options) *Service {
 	ctx, stop := context.WithCancel(context.Background())
 	return &Service{
-		options: o, log: log.With(o.Log, "part", "shards"), opened: make(chan struct{}), ctx: ctx, stop: stop,
+		lastCall: firstCall(o.Incarnation),
+		options:  o, log: log.With(o.Log, "part", "shards"), opened: make(chan struct{}), ctx: ctx, stop: stop,
 		outboxes: map[string]*outbox{}, forwards: map[uint64]chan transport.CoordinationReply{}, Metrics: newMetrics(),
 	}
 }
@@ -164,7 +174,5 @@
 	return hash.Sum32() % Count
 }
 
-// ShardOf returns the number of a lock's shard.
-func (s *Service) ShardOf(lock string) uint32 {
-	return shardOf(coordination.Request{Kind: coordination.AcquireLock, Name: lock}.Scope())
-}
+// ShardOf returns the number of the shard that evaluates a request.
+func (s *Service) ShardOf(r coordination.Request) uint32 { return shardOf(r.Scope()) }
