Save the term of a candidate before it requests votes

Cause: replies between replicas of a shard name a term and no process, but a candidate requested votes before its term was on disk. A process that was killed meanwhile campaigned in the same term again, and replies to its former process counted for it. No caller saw it; found by looking for replies that do not name the process that asked. Change: a candidate sends its requests once the term is saved, so a term belongs to one process. Test: the random walks stall disks and require that one process of a node sends the requests of a term.

--- a/internal/cluster/shard/election.go
+++ b/internal/cluster/shard/election.go
@@ -64,29 +64,36 @@
 	r.leaderAddr = ""
 	if !transfer {
 		r.role = preCandidate
-		r.requestVotes(Message{Kind: Vote, Term: r.term + 1, Last: r.last, Pre: true})
+		r.requestVotes(r.send, Message{Kind: Vote, Term: r.term + 1, Last: r.last, Pre: true})
 		r.countVotes(now)
 		return
 	}
 	r.becomeCandidate(now, true)
 }
 
-// becomeCandidate makes this replica a candidate in the next term, with a vote for itself.
+// becomeCandidate makes this replica a candidate in the next term, with a vote for itself. It requests votes once the
+// term is saved. So a process that is started on this disk later begins with at least this term and campaigns in a
+// higher one, and a term in which requests were sent belongs to one process. Replies name the term and no process: a
+// late one never counts for another process than the one that asked.
 func (r *Replica) becomeCandidate(now float64, transfer bool) {
 	r.role = candidate
 	r.term++
 	r.votedFor = r.self.Addr
 	r.save(nil, false)
 	r.ballotSave = r.lastSave
-	r.requestVotes(Message{Kind: Vote, Term: r.term, Last: r.last, Transfer: transfer})
+	send := r.sendWhenSaved
+	if mutants.On("shard/campaigns-unsaved") {
+		send = r.send
+	}
+	r.requestVotes(send, Message{Kind: Vote, Term: r.term, Last: r.last, Transfer: transfer})
 	r.countVotes(now)
 }
 
-func (r *Replica) requestVotes(m Message) {
+func (r *Replica) requestVotes(send func(to string, m Message), m Message) {
 	r.granted = map[string]bool{}
 	for _, voter := range r.voters {
 		if voter.Addr != r.self.Addr {
-			r.send(voter.Addr, m)
+			send(voter.Addr, m)
 		}
 	}
 }
--- a/internal/cluster/shard/mutants_test.go
+++ b/internal/cluster/shard/mutants_test.go
@@ -12,7 +12,7 @@
 func TestRandomWalksFindMutants(t *testing.T) {
 	for _, mutant := range []string{
 		"forgets-grant", "answers-unsaved", "any-disk", "votes-for-older", "breaks-grant", "votes-twice",
-		"transfers-with-lease", "commits-former-terms", "lease-from-receipt",
+		"transfers-with-lease", "commits-former-terms", "lease-from-receipt", "campaigns-unsaved",
 	} {
 		t.Run(mutant, func(t *testing.T) {
 			mutants.Seed(t, "shard/"+mutant)
--- a/internal/cluster/shard/simulation_test.go
+++ b/internal/cluster/shard/simulation_test.go
@@ -13,7 +13,7 @@
 
 // simulation runs the replicas of a shard in simulated time. Messages are delayed, lost and duplicated, and links may
 // work in one direction only. Processes are suspended, and handle the messages of that time afterwards. Clocks run at
-// different rates, disks are slow, power failures lose what is not synced, and disks are lost. The replicas are
+// different rates, disks are slow or stall, power failures lose what is not synced, and disks are lost. The replicas are
 // compared with a model, which is the content of the committed batches.
 type simulation struct {
 	rnd              *rand.Rand
@@ -27,6 +27,7 @@
 	linksDown        map[[2]string]bool // links that are cut, by sender and receiver
 	committed        map[uint64]string  // content of the committed batches by their numbers
 	highestCommitted uint64
+	termOwners       map[termOfNode]int // incarnation that has sent requests of a term
 	writes           int
 	nextDiskLossAt   float64 // time before which no disk is lost and no voter replaced, seconds
 	violation        string
@@ -48,6 +49,12 @@
 	lastLeaseTerm uint64   // term of the node's last known lease; 0 means none
 }
 
+// termOfNode is a term in which a node is a candidate or the leader.
+type termOfNode struct {
+	addr string
+	term uint64
+}
+
 type event struct {
 	at  float64
 	seq int
@@ -73,7 +80,7 @@
 func newSimulation(seed uint64) *simulation {
 	s := &simulation{
 		rnd: rand.New(rand.NewPCG(seed, 7)), nodes: map[string]*simulatedNode{}, linksDown: map[[2]string]bool{},
-		committed: map[uint64]string{}, nextDiskLossAt: 5,
+		committed: map[uint64]string{}, termOwners: map[termOfNode]int{}, nextDiskLossAt: 5,
 	}
 	size := 3 + 2*int(seed%2)
 	for i := range size + 1 {
@@ -184,10 +191,25 @@
 		})
 	}
 	for _, m := range out.Messages {
+		s.checkTermOwner(n, m)
 		s.deliver(m)
 	}
 }
 
+// checkTermOwner requires that only one process of a node sends the requests of a candidate or a leader in a term. The
+// replies to them name the term alone, so another process would count the replies to this one as its own.
+func (s *simulation) checkTermOwner(n *simulatedNode, m Message) {
+	reply := m.Kind == VoteReply || m.Kind == HeartbeatReply || m.Kind == AppendReply
+	if reply || m.Pre {
+		return
+	}
+	key := termOfNode{n.addr, m.Term}
+	if owner, known := s.termOwners[key]; known && owner != n.incarnation {
+		s.violate("two processes of %s send requests of term %d", n.addr, m.Term)
+	}
+	s.termOwners[key] = n.incarnation
+}
+
 func (s *simulation) deliver(m Message) {
 	copies := 1
 	if !s.faultFree {
@@ -285,7 +307,7 @@
 // injectFault causes a random fault, or a transfer of the leadership.
 func (s *simulation) injectFault() {
 	n := s.nodes[s.addrs[s.rnd.IntN(len(s.addrs))]]
-	switch s.rnd.IntN(8) {
+	switch s.rnd.IntN(9) {
 	case 0:
 		s.suspend(n, []float64{0.5, 1, 5}[s.rnd.IntN(3)]*(0.5+s.rnd.Float64()))
 	case 1:
@@ -306,6 +328,17 @@
 		s.run(n, func() {
 			n.replica.TransferTo(s.addrs[s.rnd.IntN(len(s.addrs))], s.clock(n))
 		})
+	case 8:
+		s.stallDisk(n)
+	}
+}
+
+// stallDisk delays the saves of a node from now on by up to 4 s. In one of two cases the node crashes meanwhile.
+func (s *simulation) stallDisk(n *simulatedNode) {
+	span := 4 * s.rnd.Float64()
+	n.diskIdleAt = max(n.diskIdleAt, s.now) + span
+	if s.rnd.IntN(2) == 0 {
+		s.after(span*s.rnd.Float64(), func() { s.crash(n) })
 	}
 }
 
