Replace a voter that is gone within catchUpS of its successor's start

Cause: a voter that was gone counted as one that may return for contactMs + 2 s and a second for each rank, and an electorate was changed 10 s after the last change at the earliest, while the operators count on a successor catchUpS after its start. The next loss that they allow left one of three voters. Change: all waits are fractions of catchUpS (0.6 of it, up to 0.05 for the rank), without a least age. The other reachable voters are asked first whether the silent one has answered them (Ping.About): otherwise two voters that miss one node each replace these by each other forever, 16 electorates in a minute in the test without the question.

--- a/internal/cluster/transport/consensus_messages.go
+++ b/internal/cluster/transport/consensus_messages.go
@@ -22,5 +22,14 @@
 // Chosen notifies a control node that a change is chosen.
 type Chosen struct{ consensus.Proposal }
 
-// Ping is a call whose empty reply shows that two control nodes reach each other.
-type Ping struct{}
+// Ping is a call whose reply shows that two control nodes reach each other. The reply is empty if About is empty, and
+// otherwise a Pong. Nodes of earlier versions always reply with an empty frame.
+type Ping struct {
+	About string `cbor:"1,keyasint,omitempty"` // control address of a third node
+}
+
+// Pong is the reply to a Ping about a third node.
+type Pong struct {
+	Answered    bool    `cbor:"1,keyasint,omitempty"` // the third node has answered a call of the replying process
+	AnsweredAgo float64 `cbor:"2,keyasint,omitempty"` // time since the newest such call was sent, seconds
+}
--- a/internal/cluster/transport/frame.go
+++ b/internal/cluster/transport/frame.go
@@ -28,6 +28,7 @@
 	PersistReply   *PersistReply   `cbor:"15,keyasint,omitempty"`
 	Ping           *Ping           `cbor:"16,keyasint,omitempty"`
 	Coordination   *Coordination   `cbor:"17,keyasint,omitempty"` // one-way
+	Pong           *Pong           `cbor:"18,keyasint,omitempty"`
 }
 
 // Hello subscribes to a source. Further ones on the same connection only carry Instances, for read repair.
--- a/internal/cluster/transport/golden_test.go
+++ b/internal/cluster/transport/golden_test.go
@@ -24,6 +24,9 @@
 // goldenCoordinationFile contains the frames with later types of messages, as the first version with them encoded them.
 const goldenCoordinationFile = "testdata/frames-coordination.txt"
 
+// goldenPongFile contains the frames of reports about a third node, as the first version with them encoded them.
+const goldenPongFile = "testdata/frames-pong.txt"
+
 // goldenFrame is a frame with its name in the recorded files.
 type goldenFrame struct {
 	name  string
@@ -188,6 +191,9 @@
 		{"persist reply", &Frame{Call: 6, PersistReply: &PersistReply{OK: true}}},
 		{"bare persist reply", &Frame{Call: 6, PersistReply: &PersistReply{}}},
 		{"ping", &Frame{Call: 7, Ping: &Ping{}}},
+		{"ping about a node", &Frame{Call: 7, Ping: &Ping{About: "10.0.0.1:7000"}}},
+		{"pong", &Frame{Call: 7, Pong: &Pong{Answered: true, AnsweredAgo: 1.25}}},
+		{"bare pong", &Frame{Call: 7, Pong: &Pong{}}},
 	}
 }
 
@@ -195,7 +201,7 @@
 func readGoldenFrames(t *testing.T) map[string][]byte {
 	t.Helper()
 	var lines []string
-	for _, name := range []string{goldenFramesFile, goldenCoordinationFile} {
+	for _, name := range []string{goldenFramesFile, goldenCoordinationFile, goldenPongFile} {
 		file, err := os.ReadFile(name)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/control/electorate/changes.go
+++ b/internal/control/electorate/changes.go
@@ -15,22 +15,15 @@
 	"mulleinrouter/internal/control/majority"
 	"mulleinrouter/internal/control/proposals"
 	"mulleinrouter/internal/control/replica"
+	"mulleinrouter/internal/mutants"
 )
 
 const (
-	changeTimeout   = 2 * time.Second // for a change of the electorate, until a majority has it on disk
-	handoverTimeout = time.Second     // in which HandOver may begin a replacement, and for the decision on each one
-	// replacementDelay is how long a voter may be silent beyond the bound on contact (contactMs) before it is replaced.
-	replacementDelay = 2 * time.Second
-	// replacementRankDelay is added for each reachable voter that precedes this one, so that normally only one voter
-	// acts.
-	replacementRankDelay = time.Second
-	// minAge is the time since this process first saw an electorate, or since its start, before Maintain changes that
-	// electorate. Until then, a voter that has not answered this process yet is not replaced.
-	minAge        = 10 * time.Second
-	maxProbes     = 5                       // attempts to probe a node that is behind
-	probeInterval = 50 * time.Millisecond   // between two probes of a node
-	probeTimeout  = 2 * replica.SyncTimeout // for the answer to one probe, which waits for a sync of the disk
+	changeTimeout   = 2 * time.Second         // for a change of the electorate, until a majority has it on disk
+	handoverTimeout = time.Second             // in which HandOver may begin a replacement, and for the decision on each one
+	maxProbes       = 5                       // attempts to probe a node that is behind
+	probeInterval   = 50 * time.Millisecond   // between two probes of a node
+	probeTimeout    = 2 * replica.SyncTimeout // for the answer to one probe, which waits for a sync of the disk
 )
 
 // HandoverLimit is how long a shutdown waits for HandOver to return. HandOver begins no replacement after
@@ -47,16 +40,14 @@
 	e := base.Electorate
 	age := m.Age(e)
 	term, held := m.options.Lease.Current()
-	if !held || m.options.ConfirmedTerm() != term || snapshot.Len() == 0 || age < minAge {
+	if !held || m.options.ConfirmedTerm() != term || snapshot.Len() == 0 {
 		return
 	}
 	if !e.Contains(m.options.Replica.AsVoter()) || m.changing.Load() {
 		return
 	}
 	reachable, _, _ := m.options.Lease.Reachable()
-	rank := time.Duration(slices.Index(reachable, m.self))
-	contactBound := time.Duration(m.options.Settings.Bounds.Contact * float64(time.Second))
-	limit := contactBound + replacementDelay + rank*replacementRankDelay
+	limit := m.silenceLimit(e, reachable)
 	silent := m.firstSilent(e, age, limit)
 	// Two voters are added at once, because four voters tolerate no more losses than three.
 	enlarge := silent == "" && len(e.Voters)+2 <= m.WantedVoters() && len(reachable) == len(e.Voters) && age > limit
@@ -78,32 +69,14 @@
 	})
 }
 
-// firstSilent returns the first voter that has not answered for longer than limit, or "" if there is none.
-func (m *Manager) firstSilent(e consensus.Electorate, age, limit time.Duration) string {
-	for _, v := range e.Voters {
-		if m.silentFor(v.Addr, age) > limit {
-			return v.Addr
-		}
-	}
-	return ""
-}
-
-// silentFor returns the time since a voter's last answer, limited to the age of the electorate.
-func (m *Manager) silentFor(addr string, electorateAge time.Duration) time.Duration {
-	if addr == m.self {
-		return 0
-	}
-	if age := m.options.Lease.Age(addr); age >= 0 {
-		return min(age, electorateAge)
-	}
-	return electorateAge
-}
-
 // replaceSilent replaces a silent voter by the first successor for which that succeeds. It does not replace a voter
-// that answers again.
+// that answers again, or that answers another voter.
 func (m *Manager) replaceSilent(
 	ctx context.Context, base consensus.Base, silent string, successors []Learner, limit time.Duration,
 ) {
+	if m.heardByOthers(silent) && !mutants.On("electorate/asks-no-others") {
+		return
+	}
 	stillSilent := func() bool { return m.silentFor(silent, m.Age(base.Electorate)) > limit }
 	for _, successor := range successors {
 		if m.replace(ctx, base, silent, successor.Addr, changeTimeout, stillSilent) == nil {
--- /dev/null
+++ b/internal/control/electorate/silence.go
@@ -0,0 +1,102 @@
+package electorate
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"mulleinrouter/internal/cluster/consensus"
+	"mulleinrouter/internal/cluster/transport"
+	"mulleinrouter/internal/mutants"
+)
+
+// The operators count on a successor once it has run for Bounds.CatchUp. From then on another machine may be lost, so
+// the successor has to vote by then. A voter that is gone has been silent for at least as long, because its successor
+// starts after it has ended. So all waits of a replacement are fractions of that bound, and they leave a third of it
+// for the rounds of watch, the probe of the successor and the change itself.
+const (
+	// silenceFraction is how long a voter may be silent before it is replaced. It outlasts a restart of the process.
+	silenceFraction = 0.6
+	// rankFraction is the longest additional wait of the last of the reachable voters. It separates their attempts, so
+	// that normally only one of them acts.
+	rankFraction = 0.05
+	// heardFraction is how long ago a voter's last answer to another voter may be so that it does not count as gone.
+	heardFraction = 0.3
+
+	// heardTimeout limits the wait for the other voters' reports.
+	heardTimeout = 200 * time.Millisecond
+)
+
+// catchUpFraction returns a fraction of the time after which the operators count on a successor.
+func (m *Manager) catchUpFraction(fraction float64) time.Duration {
+	bound := m.options.Settings.Bounds.CatchUp
+	if mutants.On("electorate/slow-replacement") {
+		bound *= 2
+	}
+	return time.Duration(fraction * bound * float64(time.Second))
+}
+
+// silenceLimit returns how long a voter may be silent before this node replaces it. The limit rises with the rank of
+// this node among the reachable voters.
+func (m *Manager) silenceLimit(e consensus.Electorate, reachable []string) time.Duration {
+	rank := time.Duration(max(0, slices.Index(reachable, m.self)))
+	ranks := time.Duration(max(1, len(e.Voters)-1))
+	return m.catchUpFraction(silenceFraction) + rank*m.catchUpFraction(rankFraction)/ranks
+}
+
+// firstSilent returns the first voter that has not answered for longer than limit, or "" if there is none.
+func (m *Manager) firstSilent(e consensus.Electorate, age, limit time.Duration) string {
+	for _, v := range e.Voters {
+		if m.silentFor(v.Addr, age) > limit {
+			return v.Addr
+		}
+	}
+	return ""
+}
+
+// silentFor returns the time since a voter's last answer, limited to the time since this process first saw the
+// electorate, because nodes that are no voters are not pinged.
+func (m *Manager) silentFor(addr string, electorateAge time.Duration) time.Duration {
+	if addr == m.self {
+		return 0
+	}
+	if age := m.options.Lease.Age(addr); age >= 0 {
+		return min(age, electorateAge)
+	}
+	return electorateAge
+}
+
+// heardByOthers reports whether a voter that does not answer this node has lately answered another reachable voter.
+// Then only a link has failed, and a replacement would not help: two voters, each without a link to one of two nodes,
+// would replace these by each other forever.
+func (m *Manager) heardByOthers(silent string) bool {
+	voters, _, _ := m.options.Lease.Reachable()
+	heard := make(chan bool, len(voters))
+	var asking sync.WaitGroup
+	for _, voter := range voters {
+		if voter == m.self || voter == silent {
+			continue
+		}
+		asking.Go(func() { heard <- m.heardBy(voter, silent) })
+	}
+	asking.Wait()
+	close(heard)
+	for answered := range heard {
+		if answered {
+			return true
+		}
+	}
+	return false
+}
+
+// heardBy asks a voter whether another one has answered it lately. A voter that does not report it, because it is of an
+// earlier version or does not answer, counts as one that has heard nothing.
+func (m *Manager) heardBy(voter, silent string) bool {
+	request := &transport.Frame{Ping: &transport.Ping{About: silent}}
+	answer := m.options.Peers.Call(voter, heardTimeout, request)
+	if answer == nil || answer.Pong == nil || !answer.Pong.Answered {
+		return false
+	}
+	age := time.Duration(answer.Pong.AnsweredAgo * float64(time.Second))
+	return age < m.catchUpFraction(heardFraction)
+}
--- a/internal/control/electorate_test.go
+++ b/internal/control/electorate_test.go
@@ -30,7 +30,7 @@
 	c.start(fourthAddr, vfs.NewCrashableMem(), false)
 	advance(3 * time.Second)
 	c.Equal(c.patch(c.seeds[0], patchBody([]string{serviceJSON("s", 1)}, nil)), 200)
-	advance(10 * time.Second) // an electorate must have a minimum age before it is changed
+	advance(10 * time.Second)
 	return c
 }
 
--- a/internal/control/internal_server.go
+++ b/internal/control/internal_server.go
@@ -90,7 +90,7 @@
 		}
 		return nil
 	case request.Ping != nil:
-		return answer
+		answer.Pong = n.pong(request.Ping.About)
 	case request.Call == 0:
 		return nil // all calls below may block, and are only valid with a call number
 	case request.Prepare != nil:
@@ -117,3 +117,12 @@
 	}
 	return answer
 }
+
+// pong reports when a node last answered this one. It returns nil if no node is named.
+func (n *Node) pong(about string) *transport.Pong {
+	if about == "" {
+		return nil
+	}
+	age := n.majority.Age(about)
+	return &transport.Pong{Answered: age >= 0, AnsweredAgo: max(0, age.Seconds())}
+}
--- a/internal/control/node_test.go
+++ b/internal/control/node_test.go
@@ -42,6 +42,7 @@
 	links *partitionableLinks // partitions the links without an error at either end; nil if none is to be partitioned
 
 	clauses map[string]bool // clauses in force (settings.Settings.Clauses)
+	bounds  settings.Bounds // bounds of the nodes that are started
 
 	gracePeriod time.Duration // grace period of the nodes that are started; with 0, a stopped node ends at once
 }
@@ -131,11 +132,19 @@
 func newCluster(t *testing.T, n int) *testCluster { return newClusterOver(t, n, nil) }
 
 func newClusterOver(t *testing.T, size int, links *partitionableLinks) *testCluster {
-	c := &testCluster{I: is.New(t), t: t, nodes: map[string]*testNode{}, partitioned: map[string]bool{}, links: links}
+	c := newTestCluster(t, links)
 	c.startFirst(size)
 	return c
 }
 
+// newTestCluster returns a cluster without nodes.
+func newTestCluster(t *testing.T, links *partitionableLinks) *testCluster {
+	return &testCluster{
+		I: is.New(t), t: t, nodes: map[string]*testNode{}, partitioned: map[string]bool{}, links: links,
+		bounds: settings.Bounds{Contact: 5, CatchUp: 6},
+	}
+}
+
 // newCoordinationCluster returns a cluster of three nodes that serves coordination calls of applications.
 func newCoordinationCluster(t *testing.T) *testCluster { return newCoordinationClusterOver(t, nil) }
 
@@ -146,7 +155,7 @@
 // startCoordinationCluster returns a cluster of three nodes that serves coordination calls of applications. Its nodes
 // are started with the given grace period.
 func startCoordinationCluster(t *testing.T, links *partitionableLinks, gracePeriod time.Duration) *testCluster {
-	c := &testCluster{I: is.New(t), t: t, nodes: map[string]*testNode{}, partitioned: map[string]bool{}, links: links}
+	c := newTestCluster(t, links)
 	c.clauses = map[string]bool{"coord": true}
 	c.gracePeriod = gracePeriod
 	c.startFirst(3)
@@ -188,7 +197,7 @@
 			Bootstrap:         bootstrap,
 			Clauses:           c.clauses,
 			Tolerance:         settings.Tolerance{Machines: 1},
-			Bounds:            settings.Bounds{Contact: 5},
+			Bounds:            c.bounds,
 		},
 		Log: logtest.Discard(), FS: n.stallingDisk, Incarnation: c.incarnations, Control: n.control,
 		Internal: n.internal,
