Forget control nodes that are gone when the list of peers is full

Cause: a node remembered 40 other control nodes, also those that had ended, and ignored every further one. A node that had outlived 39 others did not connect to their successors, so these could neither vote nor serve shards with it. Change: when the list is full, the peer that has been disconnected for longest (30 s or more, no voter) is forgotten. Result: TestManyReplacements, 50 replacements beside one survivor, failed before after replacement 39 and passes.

--- a/internal/control/peers/set.go
+++ b/internal/control/peers/set.go
@@ -16,9 +16,13 @@
 	"mulleinrouter/internal/control/majority"
 )
 
-// maxPeers is the maximum number of other control nodes; further ones are ignored. It bounds the connections, because
-// any control node that connects to this one is added.
-const maxPeers = 40
+const (
+	// maxPeers is the maximum number of other control nodes. It bounds the connections, because any control node that
+	// connects to this one is added. A further node takes the place of one that is gone, or is ignored if there is none.
+	maxPeers = 40
+	// goneAfter is how long a peer must have been disconnected to count as gone, unless it is a voter.
+	goneAfter = 30 * time.Second
+)
 
 // Options are the settings and dependencies of a Set.
 type Options struct {
@@ -30,6 +34,7 @@
 	Clock          *replication.Clock
 	Lease          *majority.Lease
 	Ready          func() bool                                                  // sent with each renewal
+	Voters         func() []string                                              // control addresses of the electorate
 	InternalAddrOf func(controlAddr string) string                              // empty if unknown
 	Dial           func(ctx context.Context, internal string) (net.Conn, error) // TCP if nil
 	// OnUpdate is called with each update of a peer, to merge its contents other than configuration items.
@@ -51,7 +56,9 @@
 type Peer struct {
 	Addr   string // control address
 	client *replication.Client
+	stop   context.CancelFunc // ends the client
 	zone   atomic.Pointer[string]
+	lostAt atomic.Pointer[time.Time] // time of the end of the last connection; before the first one, of the subscription
 }
 
 // NewSet makes an empty set.
@@ -60,6 +67,7 @@
 // Subscribe subscribes to those of the control nodes that are not known yet. The clients run in wg until the context
 // ends.
 func (s *Set) Subscribe(ctx context.Context, wg *sync.WaitGroup, addrs []string) {
+	voters := s.options.Voters()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if ctx.Err() != nil {
@@ -68,15 +76,40 @@
 	for _, addr := range addrs {
 		internal := s.options.InternalAddrOf(addr)
 		known := slices.ContainsFunc(s.all, func(p *Peer) bool { return p.Addr == addr })
-		if addr == s.options.Self || internal == "" || len(s.all) >= maxPeers || known {
+		if addr == s.options.Self || internal == "" || known || !s.makeRoom(slices.Concat(voters, addrs)) {
 			continue
 		}
 		p := s.newPeer(addr, internal)
+		peerCtx, stop := context.WithCancel(ctx)
+		p.stop = stop
 		s.all = append(s.all[:len(s.all):len(s.all)], p)
-		wg.Go(func() { p.client.Run(ctx) })
+		wg.Go(func() { p.client.Run(peerCtx) })
 	}
 }
 
+// makeRoom reports whether there is room for another peer. If there is none, it removes the peer that has been gone for
+// longest, except those to keep. The caller holds s.mu.
+func (s *Set) makeRoom(keep []string) bool {
+	if len(s.all) < maxPeers {
+		return true
+	}
+	var gone *Peer
+	for _, p := range s.all {
+		if p.Connected() || time.Since(*p.lostAt.Load()) < goneAfter || slices.Contains(keep, p.Addr) {
+			continue
+		}
+		if gone == nil || p.lostAt.Load().Before(*gone.lostAt.Load()) {
+			gone = p
+		}
+	}
+	if gone == nil {
+		return false
+	}
+	gone.stop()
+	s.all = slices.DeleteFunc(slices.Clone(s.all), func(p *Peer) bool { return p == gone })
+	return true
+}
+
 func (s *Set) newPeer(addr, internal string) *Peer {
 	o := &s.options
 	client := &replication.Client{
@@ -93,18 +126,26 @@
 		Ready:       o.Ready,
 		Consume:     o.OnUpdate,
 	}
+	p := &Peer{Addr: addr, client: client}
+	p.recordLoss()
 	client.OnConnection = func(up bool, err error) {
 		if up {
 			level.Info(o.Log).Log("msg", "peer connected", "peer", addr)
 			o.OnConnected()
 		} else {
+			p.recordLoss()
 			level.Warn(o.Log).Log("msg", "peer disconnected", "peer", addr, "err", err)
 		}
 	}
 	if o.Dial != nil {
 		client.Dial = func(ctx context.Context) (net.Conn, error) { return o.Dial(ctx, internal) }
 	}
-	return &Peer{Addr: addr, client: client}
+	return p
+}
+
+func (p *Peer) recordLoss() {
+	now := time.Now()
+	p.lostAt.Store(&now)
 }
 
 // All returns the peers in the order in which they became known. The caller must not change the slice.
--- a/internal/control/replacement_test.go
+++ b/internal/control/replacement_test.go
@@ -1,6 +1,9 @@
 package control
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -68,3 +71,22 @@
 		c.Equal(c.patch(y, patchBody([]string{serviceJSON("s", 2)}, nil)), 200)
 	})
 }
+
+// Guards against a control node that knows no successor any more after it has outlived many nodes, because those that
+// have ended fill its list of peers.
+func TestManyReplacements(t *testing.T) {
+	const replacements = 50 // more than a node remembers peers
+	synctest.Test(t, func(t *testing.T) {
+		c := newLossesInTurn(t, siteBounds[0], true)
+		defer c.stopAll()
+		survivor := c.seeds[0]
+		for n := range replacements {
+			addrs := slices.Sorted(maps.Keys(c.nodes))
+			addrs = slices.DeleteFunc(addrs, func(addr string) bool { return addr == survivor })
+			c.lose(addrs[n%len(addrs)], loss{replaced, 100 * time.Millisecond})
+			after := fmt.Sprint("replacement ", n+1)
+			c.requireAllVote(after)
+			c.change(after)
+		}
+	})
+}
--- a/internal/control/wiring.go
+++ b/internal/control/wiring.go
@@ -39,6 +39,7 @@
 		Clock:          n.clock,
 		Lease:          n.majority,
 		Ready:          n.ready,
+		Voters:         n.voters,
 		InternalAddrOf: n.config.InternalAddrOf,
 		Dial:           n.config.Dial,
 		OnUpdate:       n.mergeUpdate,
@@ -93,19 +94,16 @@
 	n.counters = newCounterService(
 		func() string { return n.config.InternalAddrOf(n.self) }, n.majority, n.uptime)
 	n.source = &replication.Source{
-		Store:       n.store,
-		Clock:       n.clock,
-		Ready:       n.ready,
-		Quorum:      n.majority.Held,
-		OnInstances: n.instances.Merge,
-		OnRenewal:   n.ingresses.Renew,
-		Heartbeats:  n.instances.HeartbeatsSince,
-		Rank:        n.zoneRank,
-		Members:     n.ingressCount,
-		Voters: func() []string {
-			voters, _ := n.replica.Voters()
-			return voters
-		},
+		Store:         n.store,
+		Clock:         n.clock,
+		Ready:         n.ready,
+		Quorum:        n.majority.Held,
+		OnInstances:   n.instances.Merge,
+		OnRenewal:     n.ingresses.Renew,
+		Heartbeats:    n.instances.HeartbeatsSince,
+		Rank:          n.zoneRank,
+		Members:       n.ingressCount,
+		Voters:        n.voters,
 		OnItemLeftOut: replication.LogItemLeftOut(n.config.Log),
 	}
 	options := httpapi.Options{
@@ -129,6 +127,12 @@
 	n.api = httpapi.New(options)
 }
 
+// voters returns the control addresses of the electorate.
+func (n *Node) voters() []string {
+	voters, _ := n.replica.Voters()
+	return voters
+}
+
 // mergeUpdate merges the instances and heartbeats in an update of a peer.
 func (n *Node) mergeUpdate(update *transport.Update) {
 	n.instances.Merge(update.Instances)
