Let new ingresses divide quotas by the recent number of ingresses

Cause: the leases of the lost ingresses expire after 2 s, so those that return together were told of 4 ingresses and not 11. Each took a quarter of the quota and of its tolerance, while the four that had stayed held the complete quota. Seen in the log of the control node: count=4 at 16.0 s, power at 16.5 s, count=11 at 17.8 s. Change: control nodes report the highest number of leases of the last 10 minutes, of ready ingresses or not, and a new proxy divides by it. Processes that stay are unchanged.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -69,12 +69,13 @@
 	a.clock = replication.NewClock(func() float64 { return time.Since(a.startedAt).Seconds() })
 	a.sources.Store(new([]*source))
 	a.source = &replication.Source{
-		Store:     a.store,
-		Clock:     a.clock,
-		Ready:     a.ready.Load,
-		Members:   func() int { return a.view().members },
-		Quorum:    func() bool { return a.view().quorum },
-		LinkDelay: func() time.Duration { return a.linkDelay.current(time.Now()) },
+		Store:         a.store,
+		Clock:         a.clock,
+		Ready:         a.ready.Load,
+		Members:       func() int { return a.view().members },
+		RecentMembers: func() int { return a.view().recentMembers },
+		Quorum:        func() bool { return a.view().quorum },
+		LinkDelay:     func() time.Duration { return a.linkDelay.current(time.Now()) },
 		Rank: func(string) (rank, peers int) {
 			view := a.view()
 			return view.rank, view.peers
--- a/internal/agent/cluster_view.go
+++ b/internal/agent/cluster_view.go
@@ -19,6 +19,7 @@
 // in contact with a majority of the voters.
 type clusterView struct {
 	members       int      // highest reported number of ingresses; 0: not known
+	recentMembers int      // highest reported number of recent ingresses; 0: not known
 	quorum        bool     // a majority of the voters is in contact (see sourceStatus.inContact)
 	sufficient    bool     // the updates received are enough to serve requests
 	voters        []string // control addresses of the voters; nil: not known
@@ -80,6 +81,7 @@
 			view.rank, view.peers = status.Rank, status.ZonePeers
 		}
 		view.members = max(view.members, status.Members)
+		view.recentMembers = max(view.recentMembers, status.Recent)
 		if status.syncComplete && status.Ready && status.Epoch >= newestEpoch {
 			complete++
 		}
--- a/internal/agent/proxies.go
+++ b/internal/agent/proxies.go
@@ -48,11 +48,12 @@
 	switch first.Hello.Class {
 	case classObserver:
 		source := &replication.Source{
-			Store:   a.store,
-			Clock:   a.clock,
-			Ready:   a.source.Ready,
-			Members: a.source.Members,
-			Quorum:  a.source.Quorum,
+			Store:         a.store,
+			Clock:         a.clock,
+			Ready:         a.source.Ready,
+			Members:       a.source.Members,
+			RecentMembers: a.source.RecentMembers,
+			Quorum:        a.source.Quorum,
 		}
 		_ = source.Serve(conn, first.Hello, nil) // returns when the observer disconnects
 	case replication.ClassProxy:
--- a/internal/cluster/replication/client.go
+++ b/internal/cluster/replication/client.go
@@ -70,6 +70,7 @@
 	Incarnation  uint64    // 0 means that the source never sent an update
 	Seq          uint64    // all changes of the source up to this one are in the Store
 	Members      int       // number of ingresses with a lease; 0 means unknown
+	Recent       int       // highest number of ingresses that had a lease lately; 0 means unknown
 	Ready        bool      // the source has all that a new ingress needs
 	Quorum       bool      // the source reaches a majority of the voters
 	Complete     bool      // as of the last update, the Store has everything of the source's present incarnation
--- a/internal/cluster/replication/session.go
+++ b/internal/cluster/replication/session.go
@@ -144,6 +144,7 @@
 		Incarnation:  update.Incarnation,
 		Seq:          update.Seq,
 		Members:      update.Members,
+		Recent:       update.RecentMembers,
 		Ready:        update.Ready,
 		Quorum:       update.Quorum,
 		Complete:     update.Complete,
--- a/internal/cluster/replication/source.go
+++ b/internal/cluster/replication/source.go
@@ -23,6 +23,8 @@
 
 	// Members returns the number of ingresses with a lease; nil means unknown.
 	Members func() int
+	// RecentMembers returns the highest number of ingresses that had a lease lately; nil means unknown.
+	RecentMembers func() int
 	// Ready reports whether a new subscriber has all that it needs to serve once it is up to date; nil means no.
 	Ready func() bool
 	// Quorum reports whether this process is in contact with a majority of the voters; nil means no.
@@ -99,6 +101,9 @@
 	if s.Members != nil {
 		update.Members = s.Members()
 	}
+	if s.RecentMembers != nil {
+		update.RecentMembers = s.RecentMembers()
+	}
 	update.Ready = s.Ready != nil && s.Ready()
 	update.Quorum = s.Quorum != nil && s.Quorum()
 	if s.LinkDelay != nil {
--- a/internal/cluster/transport/golden_test.go
+++ b/internal/cluster/transport/golden_test.go
@@ -24,8 +24,8 @@
 // goldenCoordinationFile contains the frames with later types of messages, as the first version with them encoded them.
 const goldenCoordinationFile = "testdata/frames-coordination.txt"
 
-// goldenPongFile contains the frames of reports about a third node, as the first version with them encoded them.
-const goldenPongFile = "testdata/frames-pong.txt"
+// goldenReportsFile contains the frames with reports about other nodes, as the first version with them encoded them.
+const goldenReportsFile = "testdata/frames-reports.txt"
 
 // goldenFrame is a frame with its name in the recorded files.
 type goldenFrame struct {
@@ -194,6 +194,7 @@
 		{"ping about a node", &Frame{Call: 7, Ping: &Ping{About: "10.0.0.1:7000"}}},
 		{"pong", &Frame{Call: 7, Pong: &Pong{Answered: true, AnsweredAgo: 1.25}}},
 		{"bare pong", &Frame{Call: 7, Pong: &Pong{}}},
+		{"update with recent members", &Frame{Update: &Update{Incarnation: 5, Seq: 6, Members: 4, RecentMembers: 11}}},
 	}
 }
 
@@ -201,7 +202,7 @@
 func readGoldenFrames(t *testing.T) map[string][]byte {
 	t.Helper()
 	var lines []string
-	for _, name := range []string{goldenFramesFile, goldenCoordinationFile, goldenPongFile} {
+	for _, name := range []string{goldenFramesFile, goldenCoordinationFile, goldenReportsFile} {
 		file, err := os.ReadFile(name)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/control/ingresslease/table.go
+++ b/internal/control/ingresslease/table.go
@@ -17,6 +17,9 @@
 	// because some holders may not have renewed their leases here yet.
 	initialRenewalPeriod = 1500 * time.Millisecond
 	maxLeases            = 1 << 14 // bounds memory; further ingresses get no lease
+	// recentSpan is how long an ingress counts in Recent after it has lost its lease. Many ingresses that were lost
+	// together may return together until then, and divide quotas by that number.
+	recentSpan = 10 * time.Minute
 
 	// MaxNameLength limits the names of ingresses and the zones of control nodes, in bytes. An ingress with a longer
 	// name gets no lease, and a longer zone is ignored.
@@ -32,6 +35,8 @@
 
 	published  atomic.Int64
 	lowerBound atomic.Int64 // count from before this term of contact
+	recent     atomic.Int64 // highest number of leases since recentAt, of ready ingresses or not
+	recentAt   time.Time    // time of the last number as high as recent; used by Count only
 	ranks      atomic.Pointer[map[string]zoneRank]
 }
 
@@ -70,8 +75,8 @@
 	}
 }
 
-// countReady returns the number of ready ingresses whose leases are valid, and removes expired leases.
-func (t *Table) countReady(now time.Time) (count int) {
+// countReady returns the number of valid leases of ready ingresses and of all, and removes expired leases.
+func (t *Table) countReady(now time.Time) (ready, all int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for node, l := range t.leases {
@@ -79,14 +84,29 @@
 			delete(t.leases, node)
 			t.changed = true
 		} else if l.ready {
-			count++
+			ready++
 		}
 	}
-	return count
+	return ready, len(t.leases)
+}
+
+// observeRecent records the number of leases. A lower number replaces the highest one after recentSpan.
+func (t *Table) observeRecent(now time.Time, leases int64) {
+	if leases >= t.recent.Load() || now.Sub(t.recentAt) > recentSpan {
+		t.recent.Store(leases)
+		t.recentAt = now
+	}
 }
 
-// Restore sets the lower bound to the count that was stored on disk.
-func (t *Table) Restore(count int) { t.lowerBound.Store(int64(count)) }
+// Recent returns the highest number of ingresses that held a lease within recentSpan, whether or not they were ready,
+// as of the last Count. If many ingresses start together, each of them counts here before it is ready.
+func (t *Table) Recent() int64 { return max(t.recent.Load(), t.Published()) }
+
+// Restore sets the lower bound and the recent number to the count that was stored on disk.
+func (t *Table) Restore(count int) {
+	t.lowerBound.Store(int64(count))
+	t.recent.Store(int64(count))
+}
 
 // BeginTerm makes the published count the lower bound for a new term of contact.
 func (t *Table) BeginTerm() {
@@ -99,7 +119,9 @@
 // ingresses have had time to renew their leases here, it is not below the lower bound, because shares of quotas that
 // are too large cannot be revoked.
 func (t *Table) Count(now, termStart time.Time) int64 {
-	count := int64(t.countReady(now))
+	ready, all := t.countReady(now)
+	t.observeRecent(now, int64(all))
+	count := int64(ready)
 	switch elapsed := now.Sub(termStart); {
 	case elapsed < initialRenewalPeriod:
 		return t.lowerBound.Load()
--- a/internal/control/ingresslease/table_test.go
+++ b/internal/control/ingresslease/table_test.go
@@ -1,6 +1,7 @@
 package ingresslease
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -53,3 +54,38 @@
 		}
 	})
 }
+
+// Guards against a part of a quota that is granted twice: ingresses that were lost together and return together must
+// know of one another before they are ready.
+func TestRecent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const all, lost = 11, 7
+		var table Table
+		start := time.Now()
+		renew := func(from, to int, ready bool) {
+			for n := from; n < to; n++ {
+				table.Renew(&transport.Hello{Node: fmt.Sprint("n", n), Zone: "z"}, ready)
+			}
+		}
+		check := func(name string, wantCount, wantRecent int64) {
+			t.Helper()
+			table.Publish(table.Count(time.Now(), start))
+			if count, recent := table.Published(), table.Recent(); count != wantCount || recent != wantRecent {
+				t.Errorf("%s: got %d, recently %d, want %d and %d", name, count, recent, wantCount, wantRecent)
+			}
+		}
+		time.Sleep(initialRenewalPeriod + 2*leaseDuration)
+		renew(0, all, true)
+		check("all", all, all)
+		time.Sleep(leaseDuration + time.Millisecond)
+		renew(lost, all, true)
+		check("after the loss", all-lost, all)
+		renew(0, lost, false)
+		check("while they start", all-lost, all)
+		time.Sleep(recentSpan)
+		renew(lost, all, true)
+		check("after a long time", all-lost, all-lost)
+		renew(0, lost, false)
+		check("when they start after a long time", all-lost, all)
+	})
+}
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -171,6 +171,15 @@
 	return int(n.ingresses.Published())
 }
 
+// recentIngressCount returns the highest number of ingresses that held a lease lately, or 0 if it is unknown. Without
+// contact it is unknown.
+func (n *Node) recentIngressCount() int {
+	if !n.majority.Held() {
+		return 0
+	}
+	return int(n.ingresses.Recent())
+}
+
 // zoneRank returns the rank of an ingress among the ready ones in its zone, and their number. The number is 0 if the
 // rank is unknown. Without contact it is unknown.
 func (n *Node) zoneRank(node string) (rank, peers int) {
--- a/internal/control/wiring.go
+++ b/internal/control/wiring.go
@@ -103,6 +103,7 @@
 		Heartbeats:    n.instances.HeartbeatsSince,
 		Rank:          n.zoneRank,
 		Members:       n.ingressCount,
+		RecentMembers: n.recentIngressCount,
 		Voters:        n.voters,
 		OnItemLeftOut: replication.LogItemLeftOut(n.config.Log),
 	}
--- a/internal/proxy/control_feed.go
+++ b/internal/proxy/control_feed.go
@@ -91,7 +91,7 @@
 	if len(update.Instances) > 0 {
 		cf.engine.SetBackends(decision.Backends{List: cf.backends(update.Instances)})
 	}
-	cf.setMembers(update.Members)
+	cf.setMembers(update.Members, update.RecentMembers)
 	linkDelay := time.Duration(update.LinkDelay * float64(time.Second))
 	cf.shedder.observe(time.Now(), linkDelay, update.LinkDelay > 0)
 	if update.ZonePeers > 0 && (update.Rank != cf.rank || update.ZonePeers != cf.peers) {
@@ -124,11 +124,12 @@
 
 // setMembers records the reported number of ingresses, and passes a change to the engine. A number of 0 or less means
 // that the agent does not know it, and is ignored.
-func (cf *controlFeed) setMembers(members int) {
+func (cf *controlFeed) setMembers(members, recent int) {
 	if members <= 0 {
 		return
 	}
-	cf.memberCount.observe(time.Now(), members)
+	now := time.Now()
+	cf.memberCount.observe(now, membersToAssume(now.Sub(cf.startedAt), members, recent))
 	ingresses := int64(cf.memberCount.value())
 	changed := cf.ingresses.Swap(ingresses) != ingresses
 	if changed || members != cf.members {
--- a/internal/proxy/ingress_count_test.go
+++ b/internal/proxy/ingress_count_test.go
@@ -45,3 +45,24 @@
 		})
 	}
 }
+
+// Guards against a part of a quota that is granted twice: many ingresses that lost power together return together, and
+// each of them assumed that only those which had stayed share the quota with it.
+func TestNewIngressAssumesRecentMembers(t *testing.T) {
+	const stayed, all = 4, 11
+	for _, c := range []struct {
+		age             time.Duration
+		members, recent int
+		want            int
+	}{
+		{0, stayed, all, all},
+		{newProcessSpan - time.Millisecond, stayed, all, all},
+		{newProcessSpan, stayed, all, stayed},
+		{0, all, stayed, all},
+		{0, stayed, 0, stayed}, // from an agent of an earlier version
+	} {
+		if got := membersToAssume(c.age, c.members, c.recent); got != c.want {
+			t.Errorf("at %v with %d members, %d recently: got %d, want %d", c.age, c.members, c.recent, got, c.want)
+		}
+	}
+}
