Fail batches that are put after the store is closed

Cause: Put after Close returned the future of the batches that were still queued, so a batch that is never written counted as saved once those were. Seen in the code by the review; no caller saw it, because no acknowledgement leaves the process any more by then. Test: TestPutAfterClose failed before and passes.

--- a/internal/control/storage/future.go
+++ b/internal/control/storage/future.go
@@ -18,6 +18,14 @@
 
 func newFuture() *Future { return &Future{done: make(chan struct{})} }
 
+// closedFuture returns the future of a batch that is not written, because it was put after Close. It is no other batch's
+// future, since earlier batches may still be queued and will be committed.
+func closedFuture() *Future {
+	f := newFuture()
+	f.resolve(ErrClosed)
+	return f
+}
+
 // Wait waits until the batches are on disk. They are synced unless all of them are NoSync. If the context ends first,
 // Wait returns its error and the batches may still be written.
 func (f *Future) Wait(ctx context.Context) error {
--- a/internal/control/storage/store.go
+++ b/internal/control/storage/store.go
@@ -97,10 +97,10 @@
 func (s *Store) Put(b Batch) *Future {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	future := s.queued
 	if s.closed {
-		return future
+		return closedFuture()
 	}
+	future := s.queued
 	if b.Acceptor != nil {
 		acceptor := *b.Acceptor // the caller may change the original afterwards
 		b.Acceptor = &acceptor
@@ -144,16 +144,12 @@
 	}
 }
 
-// nextCommit removes and returns the queued batches, or nil if there are none. If there are none and the store is
-// closed, all batches that are put later fail.
+// nextCommit removes and returns the queued batches, or nil if there are none, and whether the store is closed.
 func (s *Store) nextCommit() (future *Future, closed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.commitStart = time.Time{}
 	if len(s.queued.batches) == 0 {
-		if s.closed {
-			s.queued.resolve(ErrClosed)
-		}
 		return nil, s.closed
 	}
 	future = s.queued
--- a/internal/control/storage/store_test.go
+++ b/internal/control/storage/store_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -167,6 +168,42 @@
 	return f.File.Write(b)
 }
 
+// Guards against a batch that is put after Close has begun, is not written, and is reported as committed together with
+// earlier batches that are still queued.
+func TestPutAfterClose(t *testing.T) {
+	is := is.New(t)
+	mem := vfs.NewCrashableMem()
+	fs := &rejectingFS{FS: mem, rejected: make(chan struct{}, 1)}
+	store, _, err := open(fs, "d", logtest.Discard(), time.Microsecond)
+	is.NoErr(err)
+	rnd := rand.New(rand.NewPCG(1, 1))
+	all := []Batch{randomBatch(rnd, 1), randomBatch(rnd, 2), randomBatch(rnd, 3)}
+	for n := range all {
+		all[n].NoSync = false
+	}
+	fs.rejecting.Store(true)
+	writing := store.Put(all[0])
+	<-fs.rejected
+	queued := store.Put(all[1])
+	closed := make(chan error, 1)
+	go func() { closed <- store.Close() }()
+	for isClosed := false; !isClosed; runtime.Gosched() {
+		store.mu.Lock()
+		isClosed = store.closed
+		store.mu.Unlock()
+	}
+	late := store.Put(all[2])
+	fs.rejecting.Store(false)
+	is.True(errors.Is(late.Wait(t.Context()), ErrClosed))
+	is.NoErr(writing.Wait(t.Context()))
+	is.NoErr(queued.Wait(t.Context()))
+	is.NoErr(<-closed)
+	store, state, err := Open(mem, "d", logtest.Discard())
+	is.NoErr(err)
+	is.Equal(countBatches(is, state, all), 2)
+	is.NoErr(store.Close())
+}
+
 // While the disk rejects writes, only the callers that wait for them fail. Once it works again, it gets all batches.
 func TestRejectingDisk(t *testing.T) {
 	is := is.New(t)
