Reject puts that a suspended process may have kept

Change: PUT /cells is handled only if the majority lease was held without interruption since the connection began to wait for the call (503 otherwise), and forwarded calls are not sent after their time-out. Result: TestPutKeptByNodeFrozenForLong passes, also with connections that are accepted after the freeze; the seeded fault httpapi/handles-late-puts fails both.

--- a/internal/control/coordination_histories_test.go
+++ b/internal/control/coordination_histories_test.go
@@ -24,6 +24,10 @@
 	*testCluster
 	workload *histories.Workload
 
+	// acceptAfterPause makes a paused node accept the connections of calls after the pause, as if they waited in the
+	// backlog of its listener. Otherwise they were accepted before.
+	acceptAfterPause bool
+
 	mu      sync.Mutex // guards the fields below
 	rnd     *rand.Rand
 	crashed map[*testNode]bool   // nodes whose further answers are discarded
@@ -79,11 +83,17 @@
 	node := a.nodes[addr]
 	a.testCluster.mu.Unlock()
 	answered := make(chan *httptest.ResponseRecorder, 1)
+	server := node.api.HTTPServer()
+	accept := func() context.Context { return server.ConnContext(context.WithoutCancel(ctx), nil) }
+	conn := accept()
 	go func() {
 		a.links.pauses.await(node.addr)
+		if a.acceptAfterPause {
+			conn = accept()
+		}
 		w := httptest.NewRecorder()
-		r := httptest.NewRequestWithContext(context.WithoutCancel(ctx), method, path, strings.NewReader(body))
-		node.api.HTTPServer().Handler.ServeHTTP(w, r)
+		r := httptest.NewRequestWithContext(conn, method, path, strings.NewReader(body))
+		server.Handler.ServeHTTP(w, r)
 		a.links.pauses.await(node.addr)
 		answered <- w
 	}()
--- a/internal/control/coordination_mutants_test.go
+++ b/internal/control/coordination_mutants_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"mulleinrouter/internal/mutants"
 )
@@ -52,3 +53,13 @@
 	}
 	t.Log(wrong)
 }
+
+// The frozen node detects puts that are handled although they may have waited for long.
+func TestPutKeptByFrozenNodeFindsMutant(t *testing.T) {
+	mutants.Seed(t, "httpapi/handles-late-puts")
+	for _, acceptAfterPause := range []bool{false, true} {
+		if got := putKeptByFrozenNode(t, 45*time.Second, acceptAfterPause); got == valueBeforeLatePut {
+			t.Errorf("not found with acceptAfterPause = %t", acceptAfterPause)
+		}
+	}
+}
--- a/internal/control/coordination_put_test.go
+++ b/internal/control/coordination_put_test.go
@@ -9,10 +9,11 @@
 )
 
 // putKeptByFrozenNode sends a put to a node that is frozen, repeats it at another node, and replaces its value there.
-// It returns the answer to a read after the node has woken and has carried out the put that it kept.
-func putKeptByFrozenNode(t *testing.T, freeze time.Duration) (answer string) {
+// It returns the answer to a read after the node has woken and has read the put that it kept.
+func putKeptByFrozenNode(t *testing.T, freeze time.Duration, acceptAfterPause bool) (answer string) {
 	synctest.Test(t, func(t *testing.T) {
 		a := newApplications(t, 1)
+		a.acceptAfterPause = acceptAfterPause
 		defer a.stopAll()
 		advance(3 * time.Second)
 		frozen, other := a.seeds[0], a.seeds[1]
@@ -48,15 +49,19 @@
 func TestPutKeptByFrozenNode(t *testing.T) {
 	for _, freeze := range []time.Duration{200, 1600, 5000, 8000} {
 		freeze *= time.Millisecond
-		if got := putKeptByFrozenNode(t, freeze); got != valueBeforeLatePut {
-			t.Errorf("after a freeze of %v: got %s, want %s", freeze, got, valueBeforeLatePut)
+		for _, acceptAfterPause := range []bool{false, true} {
+			if got := putKeptByFrozenNode(t, freeze, acceptAfterPause); got != valueBeforeLatePut {
+				t.Errorf("after a freeze of %v: got %s, want %s", freeze, got, valueBeforeLatePut)
+			}
 		}
 	}
 }
 
 // The same after a freeze that is longer than the time for which puts are remembered.
 func TestPutKeptByNodeFrozenForLong(t *testing.T) {
-	if got := putKeptByFrozenNode(t, 45*time.Second); got != valueBeforeLatePut {
-		t.Errorf("got %s, want %s", got, valueBeforeLatePut)
+	for _, acceptAfterPause := range []bool{false, true} {
+		if got := putKeptByFrozenNode(t, 45*time.Second, acceptAfterPause); got != valueBeforeLatePut {
+			t.Errorf("got %s, want %s", got, valueBeforeLatePut)
+		}
 	}
 }
--- a/internal/control/httpapi/applications.go
+++ b/internal/control/httpapi/applications.go
@@ -17,13 +17,14 @@
 const maxApplicationBytes = 16 << 10
 
 // applicationEndpoints are the calls of applications. They are served only if applications coordinate through the
-// control nodes. They need no majority lease, because the leaseholder of the shard answers them.
+// control nodes. They need no majority lease for their answers, because the leaseholder of the shard gives these.
 var applicationEndpoints = []endpoint{
 	{pattern: "POST /locks/{id}", maxBody: maxApplicationBytes, caller: byApplication, handle: (*Server).acquireLock},
 	{pattern: "PUT /locks/{id}", maxBody: maxApplicationBytes, caller: byApplication, handle: (*Server).renewLock},
 	{pattern: "DELETE /locks/{id}", maxBody: maxApplicationBytes, caller: byApplication, handle: (*Server).releaseLock},
 	{pattern: "POST /numbers/{id}", maxBody: maxApplicationBytes, caller: byApplication, handle: (*Server).nextNumber},
-	{pattern: "PUT /cells/{id}", maxBody: maxApplicationBytes, caller: byApplication, handle: (*Server).putCell},
+	{pattern: "PUT /cells/{id}", maxBody: maxApplicationBytes, caller: byApplication, prompt: true,
+		handle: (*Server).putCell},
 	{pattern: "GET /cells/{id}", caller: byApplication, handle: (*Server).getCell},
 	{pattern: "GET /watch/{id}", caller: byApplication, handle: (*Server).watchGroup},
 }
--- a/internal/control/httpapi/call.go
+++ b/internal/control/httpapi/call.go
@@ -143,6 +143,9 @@
 	if c.endpoint.needsContact && !c.awaitContact(c.request.Context()) {
 		return errorReply(ErrNoContact)
 	}
+	if c.endpoint.prompt && !c.isPrompt(c.request) {
+		return errorReply(ErrNoContact)
+	}
 	began := time.Now()
 	answer, err := c.endpoint.handle(c.Server, c.request, body)
 	if err != nil {
--- a/internal/control/httpapi/server.go
+++ b/internal/control/httpapi/server.go
@@ -106,6 +106,7 @@
 	maxBody      int64  // bytes
 	caller       caller
 	needsContact bool // the majority lease must be held both when the call arrives and when it is answered
+	prompt       bool // the call is rejected if it may have waited for long before it was read (isPrompt)
 	handle       func(*Server, *http.Request, []byte) (reply, error)
 }
 
@@ -150,7 +151,7 @@
 
 // connContext adds to the context of a connection what its calls share.
 func (s *Server) connContext(ctx context.Context, nc net.Conn) context.Context {
-	return withRememberedHold(s.options.Connections.ConnContext(ctx, nc))
+	return s.withWaitingConn(withRememberedHold(s.options.Connections.ConnContext(ctx, nc)))
 }
 
 // serverLog is the destination of the http.Server's log. The adapter of the logging library is not used, because it
@@ -173,6 +174,7 @@
 		mux.HandleFunc(e.pattern, func(w http.ResponseWriter, r *http.Request) {
 			answer := s.serveCall(e, w, r)
 			s.callCounts(e).add(answer.status)
+			s.beginWaiting(r)
 			h := w.Header()
 			h.Set("Content-Type", "application/json")
 			h.Set("Content-Length", strconv.Itoa(len(answer.body)))
--- a/internal/control/majority/lease.go
+++ b/internal/control/majority/lease.go
@@ -26,6 +26,7 @@
 	lastAnswered map[string]time.Duration // send time of the newest answered request, by node
 	held         bool                     // result of the last evaluation
 	term         uint64                   // number of uninterrupted spans so far in which the lease was held
+	termStart    time.Duration            // start of the last of these spans
 	firstHeld    chan struct{}            // closed when the lease is held for the first time
 }
 
@@ -74,6 +75,7 @@
 		if l.term++; l.term == 1 {
 			close(l.firstHeld)
 		}
+		l.termStart = now
 	}
 	l.held = held
 	return reachable
@@ -99,6 +101,15 @@
 	return l.term, l.held
 }
 
+// HeldFor returns the lease's term and how long the lease has been held without interruption; ok is false if it is not
+// held now. A process that is suspended for longer than TTL loses the lease, so it has not been in that time.
+func (l *Lease) HeldFor() (term uint64, span time.Duration, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.evaluate()
+	return l.term, l.now() - l.termStart, l.held
+}
+
 // Held reports whether the lease is held now.
 func (l *Lease) Held() bool {
 	_, held := l.Current()
--- a/internal/control/shards/calls.go
+++ b/internal/control/shards/calls.go
@@ -200,8 +200,9 @@
 	s.forwards[id] = reply
 	s.mu.Unlock()
 	defer s.removeForward(id)
-	s.outbox(to).addCall(transport.CoordinationCall{ID: id, Request: r})
-	timer := time.NewTimer(forwardTimeout + time.Duration(r.WaitMs)*time.Millisecond)
+	timeout := forwardTimeout + time.Duration(r.WaitMs)*time.Millisecond
+	s.outbox(to).addCall(s.now()+timeout.Seconds(), transport.CoordinationCall{ID: id, Request: r})
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
 	case answer := <-reply:
--- a/internal/control/shards/outbox.go
+++ b/internal/control/shards/outbox.go
@@ -26,11 +26,18 @@
 type outbox struct {
 	mu       sync.Mutex // guards the fields below
 	messages []shard.Message
-	calls    []transport.CoordinationCall
+	calls    []queuedCall
 	replies  []queuedReply
 	wake     chan struct{} // capacity 1; signals that something is waiting
 }
 
+// queuedCall is a call and the time, by Service.now, after which nothing waits for its reply. It is not sent then, because
+// a process that was suspended meanwhile would have it executed long after its caller has repeated it.
+type queuedCall struct {
+	expires float64
+	call    transport.CoordinationCall
+}
+
 // queuedReply is a reply and the incarnation of the process that made the call.
 type queuedReply struct {
 	caller uint64
@@ -62,8 +69,8 @@
 	o.add(func() { o.messages = append(o.messages, m) })
 }
 
-func (o *outbox) addCall(call transport.CoordinationCall) {
-	o.add(func() { o.calls = append(o.calls, call) })
+func (o *outbox) addCall(expires float64, call transport.CoordinationCall) {
+	o.add(func() { o.calls = append(o.calls, queuedCall{expires, call}) })
 }
 
 // addReply queues the reply to a call of the peer's process with the incarnation caller. No other process of the peer
@@ -89,13 +96,14 @@
 func (o *outbox) length() int { return len(o.messages) + len(o.calls) + len(o.replies) }
 
 // take removes and returns what is to be sent in the next frame: about maxBatchBytes, and at least one entry if there
-// is any. All replies in it are for the same process. More reports that entries are left.
-func (o *outbox) take() (b batch, more bool) {
+// is any. All replies in it are for the same process. Calls that have expired are dropped. More reports that entries are
+// left.
+func (o *outbox) take(now float64) (b batch, more bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	left := maxBatchBytes
 	b.contents.Messages, o.messages = split(o.messages, messageBytes, &left)
-	b.contents.Calls, o.calls = split(o.calls, callBytes, &left)
+	b.contents.Calls = o.takeCalls(now, &left)
 	b.caller, b.contents.Replies = o.takeReplies(&left)
 	if more = o.length() > 0; !more {
 		o.messages, o.calls, o.replies = nil, nil, nil // releases the memory of a long queue
@@ -103,6 +111,17 @@
 	return b, more
 }
 
+// takeCalls removes and returns the first calls, as far as they are within the bytes that are left.
+func (o *outbox) takeCalls(now float64, left *int) (calls []transport.CoordinationCall) {
+	o.calls = slices.DeleteFunc(o.calls, func(q queuedCall) bool { return now >= q.expires })
+	first, rest := split(o.calls, queuedCallBytes, left)
+	o.calls = rest
+	for _, queued := range first {
+		calls = append(calls, queued.call)
+	}
+	return calls
+}
+
 // takeReplies removes and returns the first replies that are for the same process, as far as they are within the bytes
 // that are left.
 func (o *outbox) takeReplies(left *int) (caller uint64, replies []transport.CoordinationReply) {
@@ -148,8 +167,9 @@
 	return bytes
 }
 
-func callBytes(c *transport.CoordinationCall) int {
-	return entryOverhead + len(c.Request.Name) + len(c.Request.Owner) + len(c.Request.Value)
+func queuedCallBytes(q *queuedCall) int {
+	r := &q.call.Request
+	return entryOverhead + len(r.Name) + len(r.Owner) + len(r.Value)
 }
 
 func queuedReplyBytes(q *queuedReply) int {
@@ -170,7 +190,7 @@
 		}
 		for more := true; more && s.ctx.Err() == nil; {
 			var next batch
-			next, more = o.take()
+			next, more = o.take(s.now())
 			s.send(addr, next)
 		}
 	}
--- a/internal/control/shards/outbox_test.go
+++ b/internal/control/shards/outbox_test.go
@@ -17,13 +17,13 @@
 func TestOutboxFramesAreBounded(t *testing.T) {
 	var o outbox
 	o.wake = make(chan struct{}, 1)
-	const states, stateBytes, answers, calls = Count, 8 << 20, 64, 500
+	const states, stateBytes, answers, calls, now = Count, 8 << 20, 64, 500, 10.0
 	for n := range uint32(states) {
 		record := shard.Write{Key: fmt.Sprint("c", n), Value: bytes.Repeat([]byte{'v'}, stateBytes)}
 		o.addMessage(shard.Message{Shard: n, Kind: shard.Install, Records: []shard.Write{record}})
 	}
 	for n := range uint64(calls) {
-		o.addCall(transport.CoordinationCall{ID: n, Request: coordination.Request{
+		o.addCall(now+1, transport.CoordinationCall{ID: n, Request: coordination.Request{
 			Kind: coordination.PutCell, Value: strings.Repeat("v", coordination.MaxValueBytes),
 		}})
 	}
@@ -37,7 +37,7 @@
 	var sent transport.Coordination
 	for more := true; more; {
 		var b batch
-		b, more = o.take()
+		b, more = o.take(now)
 		if frame, err := transport.Append(nil, &transport.Frame{Coordination: &b.contents}); err != nil {
 			t.Fatalf("%d messages, %d calls, %d replies: %d bytes, %v",
 				len(b.contents.Messages), len(b.contents.Calls), len(b.contents.Replies), len(frame), err)
@@ -60,3 +60,15 @@
 		}
 	}
 }
+
+// Guards against a call that a suspended process sends after its caller has given up and repeated it elsewhere.
+func TestOutboxDropsExpiredCalls(t *testing.T) {
+	const now = 10.0
+	o := outbox{wake: make(chan struct{}, 1)}
+	o.addCall(now, transport.CoordinationCall{ID: 1})
+	o.addCall(now+0.1, transport.CoordinationCall{ID: 2})
+	b, more := o.take(now)
+	if len(b.contents.Calls) != 1 || b.contents.Calls[0].ID != 2 || more {
+		t.Errorf("sent %+v, more: %t, want only call 2", b.contents.Calls, more)
+	}
+}
