--- a/internal/control/coordination_histories_test.go
+++ b/internal/control/coordination_histories_test.go
@@ -19,7 +19,7 @@
 )
 
 // applications are clients that call random nodes in simulated time. Meanwhile, nodes crash, lose power together, are
-// paused or lose their disks, disks stall, and links fail in one or both directions.
+// paused, lose their disks or restart several times, disks stall, and links fail in one or both directions.
 type applications struct {
 	*testCluster
 	workload *histories.Workload
@@ -35,8 +35,9 @@
 }
 
 const (
-	appCount   = 6
-	faultKinds = 7
+	appCount     = 6
+	watcherCount = 8 // further applications that only watch
+	faultKinds   = 8
 )
 
 func newApplications(t *testing.T, seed uint64) *applications {
@@ -145,6 +146,11 @@
 		a.nodes[addr].stallingDisk.setStalled(true)
 		advance(time.Duration(1+a.random(3)) * time.Second)
 		a.nodes[addr].stallingDisk.setStalled(false)
+	case 7: // a node restarts several times, while calls of its former processes are still pending at other nodes
+		for range 3 {
+			a.start(addr, a.crashNode(addr), false)
+			advance(time.Duration(300+a.random(1200)) * time.Millisecond)
+		}
 	}
 	advance(time.Duration(500+a.random(2500)) * time.Millisecond)
 }
@@ -201,6 +207,9 @@
 		for app := range appCount {
 			running.Go(func() { a.workload.Run(app, stop) })
 		}
+		for range watcherCount {
+			running.Go(func() { a.workload.RunWatcher(stop) })
+		}
 		for range faults {
 			a.injectFault(a.random(faultKinds))
 		}
--- a/internal/control/coordination_mutants_test.go
+++ b/internal/control/coordination_mutants_test.go
@@ -14,7 +14,7 @@
 func TestCoordinationMutants(t *testing.T) {
 	for _, fault := range []string{
 		"coordination/lock-expires-at-take-over", "coordination/fence-from-memory",
-		"coordination/delayed-release-ends-hold",
+		"coordination/delayed-release-ends-hold", "shards/replies-to-any-process",
 	} {
 		t.Run(fault, func(t *testing.T) {
 			mutants.Seed(t, fault)
--- a/internal/emulator/coordinationsoak/faults.go
+++ b/internal/emulator/coordinationsoak/faults.go
@@ -20,7 +20,7 @@
 // injectProcessFaults injects one fault of a random process after the other, until the fault phase ends.
 func (s *soak) injectProcessFaults() {
 	for s.running() {
-		n := s.nodes[s.random(len(s.nodes))]
+		n := s.anyNode()
 		switch s.random(6) {
 		case 0:
 			s.freeze(n, []time.Duration{time.Second, 2 * time.Second, 5 * time.Second}[s.random(3)])
@@ -43,7 +43,7 @@
 func (s *soak) injectLinkFaults() {
 	for s.running() {
 		s.sleep(time.Duration(1000+s.random(3000)) * time.Millisecond)
-		near, far := s.nodes[s.random(len(s.nodes))], s.nodes[s.random(len(s.nodes))]
+		near, far := s.anyNode(), s.anyNode()
 		direction := s.random(3)
 		s.setLinks(near, []string{"both ", "to ", "from "}[direction]+far.ip)
 		s.setLinks(far, []string{"both ", "from ", "to "}[direction]+near.ip)
@@ -126,14 +126,7 @@
 	if tooSoon {
 		return
 	}
-	s.crash(n, func() {
-		if err := os.RemoveAll(n.diskPath()); err != nil {
-			s.report(err.Error())
-		}
-		if err := n.writeSettings(s.seeds, false); err != nil {
-			s.report(err.Error())
-		}
-	})
+	s.crash(n, func() { s.emptyDisk(n) })
 }
 
 func (s *soak) start(n *node) {
--- /dev/null
+++ b/internal/emulator/coordinationsoak/losses_in_turn.go
@@ -0,0 +1,106 @@
+package coordinationsoak
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"slices"
+	"time"
+)
+
+const (
+	catchUpTime   = 4 * time.Second        // terms.bounds.catchUpS: the operators count on a machine this long after its start
+	catchUpMargin = 200 * time.Millisecond // beyond it
+	changeTime    = 5 * time.Second        // time in which each change of the configuration must be acknowledged
+	freezeMax     = 5 * time.Second        // longest freeze
+	successorGap  = 500 * time.Millisecond // longest time from the end of a node to the start of its successor
+)
+
+// injectLossesInTurn loses one node at a time, each as soon as the operators count on the previous one again or on its
+// successor, until the fault phase ends. After each loss every node must accept a change of the configuration.
+func (s *soak) injectLossesInTurn() {
+	s.changeConfiguration("the start")
+	for number := 1; s.running(); number++ {
+		n := s.anyNode()
+		kind := s.random(5)
+		description := fmt.Sprintf("loss %d, %s of %s", number,
+			[]string{"replacement", "orderly replacement", "disk loss", "crash", "freeze"}[kind], n.ip)
+		switch kind {
+		case 0:
+			s.replace(n, n.kill)
+		case 1:
+			s.replace(n, func() {
+				if !n.terminate() {
+					s.report(n.ip + " did not end within the grace time after SIGTERM")
+				}
+			})
+		case 2:
+			s.crash(n, func() { s.emptyDisk(n) })
+		case 3:
+			s.crash(n, nil)
+		case 4:
+			s.freeze(n, time.Duration(s.random(int(freezeMax))))
+		}
+		time.Sleep(catchUpTime + catchUpMargin)
+		s.changeConfiguration(description)
+	}
+}
+
+// replace ends a node for good, and starts an empty one at another address.
+func (s *soak) replace(n *node, end func()) {
+	n.lifecycle.Lock()
+	end()
+	n.lifecycle.Unlock()
+	s.mu.Lock()
+	s.nodes = slices.DeleteFunc(slices.Clone(s.nodes), func(o *node) bool { return o == n })
+	s.ended = append(s.ended, n)
+	address := len(s.nodes) + len(s.ended) + 1
+	s.mu.Unlock()
+	s.sleep(time.Duration(s.random(int(successorGap))))
+	successor := s.newNode(address)
+	if err := s.prepare(successor, s.controlAddrs(), false); err != nil {
+		s.report(err.Error())
+		return
+	}
+	s.start(successor)
+	s.mu.Lock()
+	s.nodes = append(slices.Clone(s.nodes), successor)
+	s.mu.Unlock()
+}
+
+// controlAddrs returns the control addresses of the first three nodes.
+func (s *soak) controlAddrs() (addrs []string) {
+	for _, n := range s.allNodes()[:min(3, len(s.allNodes()))] {
+		addrs = append(addrs, n.controlAddr())
+	}
+	return addrs
+}
+
+// changeConfiguration changes an item of the configuration at each node. It reports a node that does not acknowledge
+// that within changeTime.
+func (s *soak) changeConfiguration(after string) {
+	for _, n := range s.allNodes() {
+		s.configVersion++
+		body := fmt.Sprintf(`{"upsert":{"services":{"s":{"healthPath":"/health","maxConns":130,"protocol":"h1",`+
+			`"tlsMode":false,"generation":"%08x"}}}}`, s.configVersion)
+		status, text := 0, ""
+		for deadline := time.Now().Add(changeTime); status != http.StatusOK && time.Now().Before(deadline); {
+			if status, text = s.sendTo(n, http.MethodPatch, "/config", body, time.Second); status != http.StatusOK {
+				time.Sleep(pollInterval)
+			}
+		}
+		if status != http.StatusOK {
+			s.report(fmt.Sprintf("after %s, a change at %s: %d %s", after, n.ip, status, text))
+		}
+	}
+}
+
+// emptyDisk removes the data of a node that is not running. It does not start a new cluster at its next start.
+func (s *soak) emptyDisk(n *node) {
+	if err := os.RemoveAll(n.diskPath()); err != nil {
+		s.report(err.Error())
+	}
+	if err := n.writeSettings(s.seeds, false); err != nil {
+		s.report(err.Error())
+	}
+}
--- a/internal/emulator/coordinationsoak/soak.go
+++ b/internal/emulator/coordinationsoak/soak.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -21,6 +22,7 @@
 	recoveryTime = 15 * time.Second       // time after the last fault within which every node must answer again
 	pollInterval = 200 * time.Millisecond // time between two calls to a node that does not answer yet
 	appCount     = 8                      // number of applications
+	watcherCount = 8                      // number of further applications that only watch
 )
 
 // Options configures a soak.
@@ -31,6 +33,9 @@
 	Nodes   int           // number of control nodes, at least 3
 	Network int           // third byte of the loopback addresses; no other soak may use it at the same time
 	Span    time.Duration // duration of the faults
+	// LossesInTurn replaces the overlapping faults by losses of one node at a time, at the shortest times that the
+	// operators' tolerance of one lost machine allows.
+	LossesInTurn bool
 }
 
 // Report is the result of a soak.
@@ -44,15 +49,17 @@
 // soak is the state of one run.
 type soak struct {
 	options  Options
-	nodes    []*node
 	seeds    []string // control addresses of the first three nodes, which all nodes contact to join
 	workload *histories.Workload
 	client   *http.Client
 	faults   context.Context // done when the fault phase ends
 
-	crashingAll sync.Mutex // serializes crashAll
+	crashingAll   sync.Mutex // serializes crashAll
+	configVersion int        // version of the item that changeConfiguration changes
 
 	mu         sync.Mutex // guards the fields below
+	nodes      []*node    // that are in the operators' list; copied on changes
+	ended      []*node    // that ended for good
 	rnd        *rand.Rand
 	problems   []string
 	diskLostAt time.Time
@@ -80,9 +87,16 @@
 	for app := range appCount {
 		running.Go(func() { s.workload.Run(app, stop) })
 	}
-	series.Go(s.injectProcessFaults)
-	series.Go(s.injectProcessFaults)
-	series.Go(s.injectLinkFaults)
+	for range watcherCount {
+		running.Go(func() { s.workload.RunWatcher(stop) })
+	}
+	if o.LossesInTurn {
+		series.Go(s.injectLossesInTurn)
+	} else {
+		series.Go(s.injectProcessFaults)
+		series.Go(s.injectProcessFaults)
+		series.Go(s.injectLinkFaults)
+	}
 	series.Wait()
 	s.requireAnswers()
 	close(stop)
@@ -94,24 +108,16 @@
 // startNodes starts all processes on empty disks.
 func (s *soak) startNodes() error {
 	for i := range s.options.Nodes {
-		n := &node{
-			ip:      fmt.Sprintf("127.77.%d.%d", s.options.Network, i+1),
-			dir:     filepath.Join(s.options.Dir, fmt.Sprint("node-", i+1)),
-			program: s.options.Program,
-		}
+		n := s.newNode(i + 1)
 		s.nodes = append(s.nodes, n)
 		if i < 3 {
 			s.seeds = append(s.seeds, n.controlAddr())
 		}
 	}
 	for _, n := range s.nodes {
-		if err := os.MkdirAll(n.dir, 0o700); err != nil {
+		if err := s.prepare(n, s.seeds, true); err != nil {
 			return err
 		}
-		if err := n.writeSettings(s.seeds, true); err != nil {
-			return err
-		}
-		s.setLinks(n)
 		if err := n.start(); err != nil {
 			s.killAll()
 			return err
@@ -120,8 +126,40 @@
 	return nil
 }
 
+// newNode returns a node with the given last byte of its address. It has no directory yet.
+func (s *soak) newNode(number int) *node {
+	return &node{
+		ip:      fmt.Sprintf("127.77.%d.%d", s.options.Network, number),
+		dir:     filepath.Join(s.options.Dir, fmt.Sprint("node-", number)),
+		program: s.options.Program,
+	}
+}
+
+// prepare makes the directory and the files of a node.
+func (s *soak) prepare(n *node, seeds []string, bootstrap bool) error {
+	if err := os.MkdirAll(n.dir, 0o700); err != nil {
+		return err
+	}
+	s.setLinks(n)
+	return n.writeSettings(seeds, bootstrap)
+}
+
+// allNodes returns the nodes that are in the operators' list. The caller must not change the slice.
+func (s *soak) allNodes() []*node {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.nodes
+}
+
+// anyNode returns a random node of those in the operators' list.
+func (s *soak) anyNode() *node {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.nodes[s.rnd.IntN(len(s.nodes))]
+}
+
 func (s *soak) killAll() {
-	for _, n := range s.nodes {
+	for _, n := range s.allNodes() {
 		if n.done == nil {
 			continue
 		}
@@ -133,7 +171,7 @@
 
 // send sends a call to a random node. The status is 0 if there was no answer.
 func (s *soak) send(method, path, body string, timeout time.Duration) (status int, text string) {
-	return s.sendTo(s.nodes[s.random(len(s.nodes))], method, path, body, timeout)
+	return s.sendTo(s.anyNode(), method, path, body, timeout)
 }
 
 func (s *soak) sendTo(n *node, method, path, body string, timeout time.Duration) (status int, text string) {
@@ -161,7 +199,7 @@
 // does not is reported.
 func (s *soak) requireAnswers() {
 	deadline := time.Now().Add(recoveryTime)
-	for _, n := range s.nodes {
+	for _, n := range s.allNodes() {
 		for number := range 6 {
 			path := fmt.Sprint("/numbers/end-", number)
 			status, text := 0, ""
@@ -179,13 +217,14 @@
 
 // result checks the exits, the answers and the logs of the processes, and returns the report.
 func (s *soak) result() *Report {
-	for _, n := range s.nodes {
+	all := slices.Concat(s.allNodes(), s.ended)
+	for _, n := range all {
 		for _, err := range n.unexpectedExitErrors() {
 			s.report(err.Error())
 		}
 	}
 	report := &Report{Problems: append(s.problems, s.workload.Check()...), Outcomes: s.workload.Outcomes()}
-	for _, n := range s.nodes {
+	for _, n := range all {
 		report.Hangups += n.hangupCount()
 		text := n.logText()
 		for _, marker := range []string{"DATA RACE", "panic:"} {
--- a/internal/emulator/coordinationsoak/soak_test.go
+++ b/internal/emulator/coordinationsoak/soak_test.go
@@ -42,7 +42,13 @@
 // TestSoak runs soaks with real processes. It fails if the answers to the applications are inconsistent, a process ends
 // by itself, panics or has a data race, or a node does not answer after the faults. Each soak takes the duration of its
 // faults, and the time until all nodes have started before them and answer after them.
-func TestSoak(t *testing.T) {
+func TestSoak(t *testing.T) { runSoaks(t, false) }
+
+// TestSoakLossesInTurn runs soaks in which nodes are lost one at a time, for good or not, at the shortest times that the
+// operators' tolerance allows. It guards against a successor that does not vote when the operators count on it.
+func TestSoakLossesInTurn(t *testing.T) { runSoaks(t, true) }
+
+func runSoaks(t *testing.T, lossesInTurn bool) {
 	program := filepath.Join(t.TempDir(), "control")
 	args := []string{"build", "-o", program}
 	if race.Enabled {
@@ -57,11 +63,13 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			count := *nodes
-			if count == 0 {
+			if count == 0 && !lossesInTurn {
 				count = 3 + 2*int(seed%2)
 			}
+			count = max(3, count)
 			report, err := Run(Options{
 				Program: program, Dir: t.TempDir(), Seed: seed, Nodes: count, Network: networks[i], Span: *span,
+				LossesInTurn: lossesInTurn,
 			})
 			if err != nil {
 				t.Fatal(err)
--- a/internal/emulator/histories/workload.go
+++ b/internal/emulator/histories/workload.go
@@ -16,16 +16,19 @@
 	// CallTimeout is how long an application waits for an answer.
 	CallTimeout = time.Second
 
-	crashTimeout   = 50 * time.Millisecond  // time from a call to the simulated crash of its application
-	watchWait      = 500 * time.Millisecond // how long the server of a watch call waits for an event
-	maxPutAttempts = 4                      // how often one put is sent at most until it gets a definite answer
-	maxRenewals    = 4                      // one more than the largest number of renewals of one lock
-	locks          = 2                      // number of locks
-	groups         = 2                      // number of groups of cells
-	cells          = 3                      // number of cells in each group
-	maxPause       = 60 * time.Millisecond  // longest pause of an application between two calls
+	crashTimeout   = 50 * time.Millisecond // time from a call to the simulated crash of its application
+	maxPutAttempts = 4                     // how often one put is sent at most until it gets a definite answer
+	maxRenewals    = 4                     // one more than the largest number of renewals of one lock
+	locks          = 2                     // number of locks
+	groups         = 2                     // number of groups of cells
+	cells          = 3                     // number of cells in each group
+	maxPause       = 60 * time.Millisecond // longest pause of an application between two calls
 )
 
+// watchWaits are how long the server of a watch call waits for an event. The longest one outlasts a restart of a node, so
+// that its watches are still pending at another node when it is back.
+var watchWaits = []time.Duration{500 * time.Millisecond, 500 * time.Millisecond, 3 * time.Second}
+
 // SendFunc sends a call to any control node, and returns its answer. The status is 0 if no answer arrived
 // within the timeout.
 type SendFunc func(method, path, body string, timeout time.Duration) (status int, text string)
@@ -75,6 +78,19 @@
 	}
 }
 
+// RunWatcher runs one application that only watches, until stop is closed. It has a watch pending nearly always.
+func (w *Workload) RunWatcher(stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		w.watch()
+		time.Sleep(time.Duration(w.Random(int(maxPause))))
+	}
+}
+
 // Random returns a random number from 0 to n-1.
 func (w *Workload) Random(n int) int {
 	w.mu.Lock()
@@ -211,8 +227,9 @@
 	w.mu.Lock()
 	after := w.watchedUntil[group]
 	w.mu.Unlock()
-	path := fmt.Sprintf("/watch/%s?after=%d&waitMs=%d", group, after, watchWait.Milliseconds())
-	status, text := w.send(http.MethodGet, path, "", CallTimeout+watchWait)
+	wait := watchWaits[w.Random(len(watchWaits))]
+	path := fmt.Sprintf("/watch/%s?after=%d&waitMs=%d", group, after, wait.Milliseconds())
+	status, text := w.send(http.MethodGet, path, "", CallTimeout+wait)
 	if status == http.StatusGone {
 		w.addViolation(fmt.Sprintf("watch of %s after %d: got 410, want the events after that revision", group, after))
 	}
