--- a/internal/cluster/shard/leader.go
+++ b/internal/cluster/shard/leader.go
@@ -34,8 +34,8 @@
 	transferEnd  float64              // time at which it steps down, seconds
 }
 
-// formerVoter is a voter that was removed. Once its removal is committed, it receives that batch too, because a node that
-// shuts down waits until it is no voter any more.
+// formerVoter is a voter that was removed. Once its removal is committed, it receives that batch too, because a node
+// that shuts down waits until it is no voter any more.
 type formerVoter struct {
 	addr    string
 	removal uint64  // number of the batch without the voter
@@ -202,7 +202,9 @@
 // mayReceive reports whether a replica is sent batches: a voter, a learner, or a former voter whose removal is
 // committed.
 func (r *Replica) mayReceive(addr string) bool {
-	isFormer := slices.ContainsFunc(r.former, func(f formerVoter) bool { return f.addr == addr && f.removal <= r.commit })
+	isFormer := slices.ContainsFunc(r.former, func(f formerVoter) bool {
+		return f.addr == addr && f.removal <= r.commit
+	})
 	return isFormer || slices.Contains(r.replicas(), addr)
 }
 
--- a/internal/cluster/shard/replica.go
+++ b/internal/cluster/shard/replica.go
@@ -217,8 +217,8 @@
 	return slices.Contains(r.voters, v)
 }
 
-// IsVoter reports whether this replica is a voter, as of its last batch. A leader removes another voter from that voter's
-// own list only after the removal is committed.
+// IsVoter reports whether this replica is a voter, as of its last batch. A leader removes another voter from that
+// voter's own list only after the removal is committed.
 func (r *Replica) IsVoter() bool { return r.isVoter(r.self) }
 
 // Records returns the records as of Last. The caller must not change them, nor use them after the next call of a
--- a/internal/cluster/shard/simulation_test.go
+++ b/internal/cluster/shard/simulation_test.go
@@ -13,8 +13,8 @@
 
 // simulation runs the replicas of a shard in simulated time. Messages are delayed, lost and duplicated, and links may
 // work in one direction only. Processes are suspended, and handle the messages of that time afterwards. Clocks run at
-// different rates, disks are slow or stall, power failures lose what is not synced, and disks are lost. The replicas are
-// compared with a model, which is the content of the committed batches.
+// different rates, disks are slow or stall, power failures lose what is not synced, and disks are lost. The replicas
+// are compared with a model, which is the content of the committed batches.
 type simulation struct {
 	rnd              *rand.Rand
 	now              float64
--- a/internal/cluster/transport/frame.go
+++ b/internal/cluster/transport/frame.go
@@ -82,8 +82,8 @@
 	// MatchingBuckets has a bit for each bucket of Hello.Digests that is the same and is left out. It is sent only with
 	// the first update.
 	MatchingBuckets []byte `cbor:"20,keyasint,omitempty"`
-	// RecentMembers is the highest number of ingresses that had a lease lately, ready or not; 0 means unknown. A process
-	// that has just started divides quotas by it, because Members does not include those that are starting too.
+	// RecentMembers is the highest number of ingresses that had a lease lately, ready or not; 0 means unknown. A
+	// process that has just started divides quotas by it, because Members does not include those that are starting too.
 	RecentMembers int `cbor:"22,keyasint,omitempty"`
 	// Part is a part of the body of a long item. The parts are sent in order, in successive updates. The last one is
 	// sent with the item itself, as the only entry in Items and without its body.
--- a/internal/control/coordination.go
+++ b/internal/control/coordination.go
@@ -54,8 +54,8 @@
 	return base.Electorate.Voters
 }
 
-// shardRemovalLimit is how long a shutdown waits until the shards have followed the handover of the vote. The leaseholders
-// look at the electorate every 50 ms, and the change takes a few syncs and a transfer of the state.
+// shardRemovalLimit is how long a shutdown waits until the shards have followed the handover of the vote. The
+// leaseholders look at the electorate every 50 ms, and the change takes a few syncs and a transfer of the state.
 const shardRemovalLimit = 1500 * time.Millisecond
 
 // transferShardLeases transfers the leases of the shards that this node leads to other voters before a shutdown.
--- a/internal/control/coordination_restart_test.go
+++ b/internal/control/coordination_restart_test.go
@@ -10,9 +10,10 @@
 	"mulleinrouter/internal/cluster/coordination"
 )
 
-// restartedCaller is a cluster in which a node has been killed and started again, while a watch that its former process
-// had forwarded is pending at the leaseholder. The former process had forwarded nothing else, so if the processes number
-// their calls alike, the reply to that watch has the number of the first call that the new process forwards.
+// restartedCaller is a cluster in which a node has been killed and started again, while a watch that its former
+// process had forwarded is pending at the leaseholder. The former process had forwarded nothing else, so if the
+// processes number their calls alike, the reply to that watch has the number of the first call that the new process
+// forwards.
 type restartedCaller struct {
 	*testCluster
 	leaseholder string // of two shards, whose numbers are watched and other
@@ -28,8 +29,8 @@
 	c := &restartedCaller{testCluster: newCoordinationCluster(t)}
 	advance(10 * time.Second) // each lease is at its preferred voter then, and stays there
 	c.findLeaseholder()
-	c.put(c.group(c.watched), "a", "v1")
-	c.put(c.group(c.other), "a", "w1")
+	c.put(c.group(c.watched), "v1")
+	c.put(c.group(c.other), "w1")
 	c.watch(c.group(c.watched), watchOfFormerProcess)
 	advance(100 * time.Millisecond)
 	c.start(c.caller, c.crash(c.caller), false)
@@ -66,10 +67,10 @@
 	}
 }
 
-// put puts a value through the leaseholder.
-func (c *restartedCaller) put(group, cell, value string) {
+// put puts a value into cell a of a group, through the leaseholder.
+func (c *restartedCaller) put(group, value string) {
 	c.Helper()
-	status, _ := c.call(c.leaseholder, "PUT", "/cells/"+group+cell, fmt.Sprintf(`{"payload":%q}`, value))
+	status, _ := c.call(c.leaseholder, "PUT", "/cells/"+group+"a", fmt.Sprintf(`{"payload":%q}`, value))
 	c.Equal(status, 200)
 }
 
@@ -119,9 +120,9 @@
 	run("watch of another group", func(c *restartedCaller) (got, want string) {
 		answer := c.watch(c.group(c.other), 3*time.Second)
 		advance(100 * time.Millisecond)
-		c.put(c.group(c.watched), "a", "v2") // completes the watch of the former process
+		c.put(c.group(c.watched), "v2") // completes the watch of the former process
 		advance(100 * time.Millisecond)
-		c.put(c.group(c.other), "a", "w2")
+		c.put(c.group(c.other), "w2")
 		event := fmt.Sprintf(`{"name":"%sa","payload":"w2","revision":2}`, c.group(c.other))
 		return <-answer, `200 {"log":[` + event + `],"revision":2}`
 	})
--- a/internal/control/electorate/changes.go
+++ b/internal/control/electorate/changes.go
@@ -20,7 +20,7 @@
 
 const (
 	changeTimeout   = 2 * time.Second         // for a change of the electorate, until a majority has it on disk
-	handoverTimeout = time.Second             // in which HandOver may begin a replacement, and for the decision on each one
+	handoverTimeout = time.Second             // for HandOver to begin a replacement, and to decide on each one
 	maxProbes       = 5                       // attempts to probe a node that is behind
 	probeInterval   = 50 * time.Millisecond   // between two probes of a node
 	probeTimeout    = 2 * replica.SyncTimeout // for the answer to one probe, which waits for a sync of the disk
@@ -74,7 +74,7 @@
 func (m *Manager) replaceSilent(
 	ctx context.Context, base consensus.Base, silent string, successors []Learner, limit time.Duration,
 ) {
-	if m.heardByOthers(silent) && !mutants.On("electorate/asks-no-others") {
+	if m.answersOthers(silent) && !mutants.On("electorate/asks-no-others") {
 		return
 	}
 	stillSilent := func() bool { return m.silentFor(silent, m.Age(base.Electorate)) > limit }
--- a/internal/control/electorate/silence.go
+++ b/internal/control/electorate/silence.go
@@ -20,11 +20,11 @@
 	// rankFraction is the longest additional wait of the last of the reachable voters. It separates their attempts, so
 	// that normally only one of them acts.
 	rankFraction = 0.05
-	// heardFraction is how long ago a voter's last answer to another voter may be so that it does not count as gone.
-	heardFraction = 0.3
+	// answeredFraction is how long ago a voter's last answer to another voter may be so that it does not count as gone.
+	answeredFraction = 0.3
 
-	// heardTimeout limits the wait for the other voters' reports.
-	heardTimeout = 200 * time.Millisecond
+	// reportTimeout limits the wait for the other voters' reports.
+	reportTimeout = 200 * time.Millisecond
 )
 
 // catchUpFraction returns a fraction of the time after which the operators count on a successor.
@@ -66,22 +66,22 @@
 	return electorateAge
 }
 
-// heardByOthers reports whether a voter that does not answer this node has lately answered another reachable voter.
+// answersOthers reports whether a voter that does not answer this node has lately answered another reachable voter.
 // Then only a link has failed, and a replacement would not help: two voters, each without a link to one of two nodes,
 // would replace these by each other forever.
-func (m *Manager) heardByOthers(silent string) bool {
+func (m *Manager) answersOthers(silent string) bool {
 	voters, _, _ := m.options.Lease.Reachable()
-	heard := make(chan bool, len(voters))
+	reports := make(chan bool, len(voters))
 	var asking sync.WaitGroup
 	for _, voter := range voters {
 		if voter == m.self || voter == silent {
 			continue
 		}
-		asking.Go(func() { heard <- m.heardBy(voter, silent) })
+		asking.Go(func() { reports <- m.answersVoter(voter, silent) })
 	}
 	asking.Wait()
-	close(heard)
-	for answered := range heard {
+	close(reports)
+	for answered := range reports {
 		if answered {
 			return true
 		}
@@ -89,14 +89,14 @@
 	return false
 }
 
-// heardBy asks a voter whether another one has answered it lately. A voter that does not report it, because it is of an
-// earlier version or does not answer, counts as one that has heard nothing.
-func (m *Manager) heardBy(voter, silent string) bool {
+// answersVoter asks a voter whether another one has answered it lately. A voter that does not report it, because it
+// is of an earlier version or does not answer, counts as one that got no answer.
+func (m *Manager) answersVoter(voter, silent string) bool {
 	request := &transport.Frame{Ping: &transport.Ping{About: silent}}
-	answer := m.options.Peers.Call(voter, heardTimeout, request)
+	answer := m.options.Peers.Call(voter, reportTimeout, request)
 	if answer == nil || answer.Pong == nil || !answer.Pong.Answered {
 		return false
 	}
 	age := time.Duration(answer.Pong.AnsweredAgo * float64(time.Second))
-	return age < m.catchUpFraction(heardFraction)
+	return age < m.catchUpFraction(answeredFraction)
 }
--- a/internal/control/httpapi/releases_test.go
+++ b/internal/control/httpapi/releases_test.go
@@ -8,11 +8,13 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-kit/log"
 
 	"mulleinrouter/internal/cluster/coordination"
 	"mulleinrouter/internal/control/connlimit"
+	"mulleinrouter/internal/control/majority"
 	"mulleinrouter/internal/control/operatorapi"
 )
 
@@ -46,6 +48,7 @@
 	api := New(Options{
 		Self: server.Listener.Addr().String(), Coordination: &leaseholder{tables: tables},
 		Connections: connlimit.NewGate(100), Log: log.NewNopLogger(),
+		Lease: majority.NewLease("a", func() time.Duration { return 0 }, func() []string { return []string{"a"} }),
 	})
 	server.Config = api.HTTPServer()
 	server.Start()
--- a/internal/control/ingresslease/table_test.go
+++ b/internal/control/ingresslease/table_test.go
@@ -82,7 +82,7 @@
 		check("after the loss", all-lost, all)
 		renew(0, lost, false)
 		check("while they start", all-lost, all)
-		time.Sleep(recentSpan)
+		time.Sleep(recentSpan + time.Millisecond)
 		renew(lost, all, true)
 		check("after a long time", all-lost, all-lost)
 		renew(0, lost, false)
--- a/internal/control/internal_server.go
+++ b/internal/control/internal_server.go
@@ -77,8 +77,8 @@
 	p.RetryNow() // the peer is running now; a dial that began before it was might run into its time-out
 }
 
-// handlePeer handles a call of a process of another control node. It returns the answer, or nil if the call gets none. An empty
-// frame is an answer without a result.
+// handlePeer handles a call of a process of another control node. It returns the answer, or nil if the call gets none.
+// An empty frame is an answer without a result.
 func (n *Node) handlePeer(request *transport.Frame, from shards.Process) *transport.Frame {
 	answer := &transport.Frame{}
 	switch {
--- a/internal/control/losses_in_turn_test.go
+++ b/internal/control/losses_in_turn_test.go
@@ -128,8 +128,8 @@
 	return time.Now()
 }
 
-// snapshotDelay is how long a node may take to get a newer snapshot that a majority has, if the proposer ended before it
-// notified the node. It learns of that snapshot by the next update of a peer (transport.KeepaliveInterval).
+// snapshotDelay is how long a node may take to get a newer snapshot that a majority has, if the proposer ended before
+// it notified the node. It learns of that snapshot by the next update of a peer (transport.KeepaliveInterval).
 const snapshotDelay = time.Second
 
 // requireAllVote fails the test unless every voter of the electorate runs and votes.
@@ -189,7 +189,8 @@
 				random := rand.New(rand.NewPCG(seed, 6))
 				losses := []loss{}
 				for range 8 {
-					losses = append(losses, loss{lossKind(random.IntN(lossKinds)), lossGaps[random.IntN(len(lossGaps))]})
+					gap := lossGaps[random.IntN(len(lossGaps))]
+					losses = append(losses, loss{lossKind(random.IntN(lossKinds)), gap})
 				}
 				synctest.Test(t, func(t *testing.T) { newLossesInTurn(t, bounds, seed%2 == 1).play(random, losses) })
 			})
--- a/internal/control/peers/set.go
+++ b/internal/control/peers/set.go
@@ -18,10 +18,11 @@
 
 const (
 	// maxPeers is the maximum number of other control nodes. It bounds the connections, because any control node that
-	// connects to this one is added. A further node takes the place of one that is gone, or is ignored if there is none.
+	// connects to this one is added. A further node takes the place of one that is evicted, or is ignored if there is
+	// none.
 	maxPeers = 40
-	// goneAfter is how long a peer must have been disconnected to count as gone, unless it is a voter.
-	goneAfter = 30 * time.Second
+	// evictAfter is how long a peer must have been disconnected before it may be evicted. Voters are not evicted.
+	evictAfter = 30 * time.Second
 )
 
 // Options are the settings and dependencies of a Set.
@@ -58,7 +59,7 @@
 	client *replication.Client
 	stop   context.CancelFunc // ends the client
 	zone   atomic.Pointer[string]
-	lostAt atomic.Pointer[time.Time] // time of the end of the last connection; before the first one, of the subscription
+	lostAt atomic.Pointer[time.Time] // end of the last connection or, before the first one, time of the subscription
 }
 
 // NewSet makes an empty set.
@@ -76,7 +77,7 @@
 	for _, addr := range addrs {
 		internal := s.options.InternalAddrOf(addr)
 		known := slices.ContainsFunc(s.all, func(p *Peer) bool { return p.Addr == addr })
-		if addr == s.options.Self || internal == "" || known || !s.makeRoom(slices.Concat(voters, addrs)) {
+		if addr == s.options.Self || internal == "" || known || !s.evictIfFull(slices.Concat(voters, addrs)) {
 			continue
 		}
 		p := s.newPeer(addr, internal)
@@ -87,26 +88,26 @@
 	}
 }
 
-// makeRoom reports whether there is room for another peer. If there is none, it removes the peer that has been gone for
-// longest, except those to keep. The caller holds s.mu.
-func (s *Set) makeRoom(keep []string) bool {
+// evictIfFull reports whether another peer may be added. If the set is full, it evicts the peer that has been
+// disconnected for longest, except those to keep. The caller holds s.mu.
+func (s *Set) evictIfFull(keep []string) bool {
 	if len(s.all) < maxPeers {
 		return true
 	}
-	var gone *Peer
+	var evicted *Peer
 	for _, p := range s.all {
-		if p.Connected() || time.Since(*p.lostAt.Load()) < goneAfter || slices.Contains(keep, p.Addr) {
+		if p.Connected() || time.Since(*p.lostAt.Load()) < evictAfter || slices.Contains(keep, p.Addr) {
 			continue
 		}
-		if gone == nil || p.lostAt.Load().Before(*gone.lostAt.Load()) {
-			gone = p
+		if evicted == nil || p.lostAt.Load().Before(*evicted.lostAt.Load()) {
+			evicted = p
 		}
 	}
-	if gone == nil {
+	if evicted == nil {
 		return false
 	}
-	gone.stop()
-	s.all = slices.DeleteFunc(slices.Clone(s.all), func(p *Peer) bool { return p == gone })
+	evicted.stop()
+	s.all = slices.DeleteFunc(slices.Clone(s.all), func(p *Peer) bool { return p == evicted })
 	return true
 }
 
--- a/internal/control/replacement_test.go
+++ b/internal/control/replacement_test.go
@@ -43,10 +43,11 @@
 		c.Equal(c.patch(c.seeds[0], patchBody([]string{serviceJSON("s", 1)}, nil)), 200)
 		x, y, z := c.seeds[0], c.seeds[1], c.seeds[2]
 		severed := map[[2]string]bool{{x, z}: true, {z, x}: true, {y, fourthAddr}: true, {fourthAddr, y}: true}
-		links.setSevered(func(from, to string) bool { return severed[[2]string{from, to}] }, append(c.seeds, fourthAddr))
+		all := append(slices.Clone(c.seeds), fourthAddr)
+		links.setSevered(func(from, to string) bool { return severed[[2]string{from, to}] }, all)
 		count = c.electoratesWithin(y, time.Minute)
 		c.Equal(c.patch(x, patchBody([]string{serviceJSON("s", 2)}, nil)), 200)
-		links.setSevered(func(string, string) bool { return false }, append(c.seeds, fourthAddr))
+		links.setSevered(func(string, string) bool { return false }, all)
 		advance(3 * time.Second)
 	})
 	return count
--- a/internal/control/shards/calls.go
+++ b/internal/control/shards/calls.go
@@ -250,8 +250,8 @@
 	}
 }
 
-// serveForwarded evaluates a call of a process of another node in a new goroutine, and replies to that process only. If maxForwardedInFlight are being evaluated
-// already, it rejects the call.
+// serveForwarded evaluates a call of a process of another node in a new goroutine, and replies to that process only.
+// If maxForwardedInFlight are being evaluated already, it rejects the call.
 func (s *Service) serveForwarded(from Process, call transport.CoordinationCall) {
 	s.mu.Lock()
 	s.forwardedInFlight++
--- a/internal/control/shards/host.go
+++ b/internal/control/shards/host.go
@@ -42,7 +42,9 @@
 func newHost(s *Service, number uint32, disk *storage.Store, state shard.State, self consensus.Voter) *host {
 	h := &host{service: s, number: number, disk: disk, wake: make(chan struct{}, 1)}
 	h.waiters.changed = make(chan struct{})
-	h.replica = shard.New(shard.Options{Shard: number, Self: self, Seed: s.options.Incarnation, State: state, Now: s.now()})
+	h.replica = shard.New(shard.Options{
+		Shard: number, Self: self, Seed: s.options.Incarnation, State: state, Now: s.now(),
+	})
 	return h
 }
 
--- a/internal/control/shards/outbox.go
+++ b/internal/control/shards/outbox.go
@@ -31,8 +31,8 @@
 	wake     chan struct{} // capacity 1; signals that something is waiting
 }
 
-// queuedCall is a call and the time, by Service.now, after which nothing waits for its reply. It is not sent then, because
-// a process that was suspended meanwhile would have it executed long after its caller has repeated it.
+// queuedCall is a call and the time, by Service.now, after which nothing waits for its reply. It is not sent then,
+// because a process that was suspended meanwhile would have it executed long after its caller has repeated it.
 type queuedCall struct {
 	expires float64
 	call    transport.CoordinationCall
@@ -96,8 +96,8 @@
 func (o *outbox) length() int { return len(o.messages) + len(o.calls) + len(o.replies) }
 
 // take removes and returns what is to be sent in the next frame: about maxBatchBytes, and at least one entry if there
-// is any. All replies in it are for the same process. Calls that have expired are dropped. More reports that entries are
-// left.
+// is any. All replies in it are for the same process. Calls that have expired are dropped. More reports that entries
+// are left.
 func (o *outbox) take(now float64) (b batch, more bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/control/shards/service.go
+++ b/internal/control/shards/service.go
@@ -158,9 +158,9 @@
 	}
 }
 
-// AwaitRemoval waits until this node is no voter of any shard, as far as it has replicas of them, for limit at most. It
-// reports whether that is so. It is called before the process ends, once the electorate does not list the node any more:
-// a voter of a shard that has ended would count towards the majority that the other voters need.
+// AwaitRemoval waits until this node is no voter of any shard, as far as it has replicas of them, for limit at most.
+// It reports whether that is so. It is called before the process ends, once the electorate does not list the node any
+// more: a voter of a shard that has ended would count towards the majority that the other voters need.
 func (s *Service) AwaitRemoval(ctx context.Context, limit time.Duration) (removed bool) {
 	hosts := s.hosts.Load()
 	if hosts == nil {
--- a/internal/control/storage/future.go
+++ b/internal/control/storage/future.go
@@ -18,8 +18,8 @@
 
 func newFuture() *Future { return &Future{done: make(chan struct{})} }
 
-// closedFuture returns the future of a batch that is not written, because it was put after Close. It is no other batch's
-// future, since earlier batches may still be queued and will be committed.
+// closedFuture returns the future of a batch that is not written, because it was put after Close. It is no other
+// batch's future, since earlier batches may still be queued and will be committed.
 func closedFuture() *Future {
 	f := newFuture()
 	f.resolve(ErrClosed)
--- a/internal/emulator/coordinationsoak/losses_in_turn.go
+++ b/internal/emulator/coordinationsoak/losses_in_turn.go
@@ -9,7 +9,8 @@
 )
 
 const (
-	catchUpTime   = 4 * time.Second        // terms.bounds.catchUpS: the operators count on a machine this long after its start
+	// catchUpTime is terms.bounds.catchUpS: how long after its start the operators count on a machine.
+	catchUpTime   = 4 * time.Second
 	catchUpMargin = 200 * time.Millisecond // beyond it
 	changeTime    = 5 * time.Second        // time in which each change of the configuration must be acknowledged
 	freezeMax     = 5 * time.Second        // longest freeze
--- a/internal/emulator/coordinationsoak/soak_test.go
+++ b/internal/emulator/coordinationsoak/soak_test.go
@@ -44,8 +44,8 @@
 // faults, and the time until all nodes have started before them and answer after them.
 func TestSoak(t *testing.T) { runSoaks(t, false) }
 
-// TestSoakLossesInTurn runs soaks in which nodes are lost one at a time, for good or not, at the shortest times that the
-// operators' tolerance allows. It guards against a successor that does not vote when the operators count on it.
+// TestSoakLossesInTurn runs soaks in which nodes are lost one at a time, for good or not, at the shortest times that
+// the operators' tolerance allows. It guards against a successor that does not vote when the operators count on it.
 func TestSoakLossesInTurn(t *testing.T) { runSoaks(t, true) }
 
 func runSoaks(t *testing.T, lossesInTurn bool) {
--- a/internal/emulator/histories/workload.go
+++ b/internal/emulator/histories/workload.go
@@ -25,8 +25,8 @@
 	maxPause       = 60 * time.Millisecond // longest pause of an application between two calls
 )
 
-// watchWaits are how long the server of a watch call waits for an event. The longest one outlasts a restart of a node, so
-// that its watches are still pending at another node when it is back.
+// watchWaits are how long the server of a watch call waits for an event. The longest one outlasts a restart of a node,
+// so that its watches are still pending at another node when it is back.
 var watchWaits = []time.Duration{500 * time.Millisecond, 500 * time.Millisecond, 3 * time.Second}
 
 // SendFunc sends a call to any control node, and returns its answer. The status is 0 if no answer arrived
