Replace a voter that has shut down 0.1 of catchUpS after its last answer

Cause: a node that gets SIGTERM before its successor has joined could not hand its vote over, ended, and then counted as a voter that may return (0.6 of catchUpS), so a slow successor voted later than catchUpS after its start. Found by extended orders of TestLossesInTurn; its check had allowed a second too much (snapshotDelay), which is gone. Change: a node that shuts down says so in its answers to pings (Pong.Leaving); the others replace it 0.1 of catchUpS after its last answer. In the tests, a crash now ends a node at once, and nodes have the grace period of the product.

--- a/internal/cluster/transport/consensus_messages.go
+++ b/internal/cluster/transport/consensus_messages.go
@@ -28,8 +28,9 @@
 	About string `cbor:"1,keyasint,omitempty"` // control address of a third node
 }
 
-// Pong is the reply to a Ping about a third node.
+// Pong is the reply to a Ping about a third node, and to each Ping while the replying process shuts down.
 type Pong struct {
 	Answered    bool    `cbor:"1,keyasint,omitempty"` // the third node has answered a call of the replying process
 	AnsweredAgo float64 `cbor:"2,keyasint,omitempty"` // time since the newest such call was sent, seconds
+	Leaving     bool    `cbor:"3,keyasint,omitempty"` // the replying process shuts down
 }
--- a/internal/cluster/transport/golden_test.go
+++ b/internal/cluster/transport/golden_test.go
@@ -194,6 +194,7 @@
 		{"ping about a node", &Frame{Call: 7, Ping: &Ping{About: "10.0.0.1:7000"}}},
 		{"pong", &Frame{Call: 7, Pong: &Pong{Answered: true, AnsweredAgo: 1.25}}},
 		{"bare pong", &Frame{Call: 7, Pong: &Pong{}}},
+		{"pong of a leaving node", &Frame{Call: 7, Pong: &Pong{Leaving: true}}},
 		{"update with recent members", &Frame{Update: &Update{Incarnation: 5, Seq: 6, Members: 4, RecentMembers: 11}}},
 	}
 }
--- a/internal/control/electorate/changes.go
+++ b/internal/control/electorate/changes.go
@@ -46,11 +46,9 @@
 	if !e.Contains(m.options.Replica.AsVoter()) || m.changing.Load() {
 		return
 	}
-	reachable, _, _ := m.options.Lease.Reachable()
-	limit := m.silenceLimit(e, reachable)
-	silent := m.firstSilent(e, age, limit)
-	// Two voters are added at once, because four voters tolerate no more losses than three.
-	enlarge := silent == "" && len(e.Voters)+2 <= m.WantedVoters() && len(reachable) == len(e.Voters) && age > limit
+	rankDelay := m.rankDelay(e)
+	silent := m.firstSilent(e, age, rankDelay)
+	enlarge := silent == "" && m.mayEnlarge(e, age, rankDelay)
 	if silent == "" && !enlarge {
 		return
 	}
@@ -65,19 +63,29 @@
 			m.enlarge(ctx, base, successors[:2])
 			return
 		}
-		m.replaceSilent(ctx, base, silent, successors, limit)
+		m.replaceSilent(ctx, base, silent, successors, rankDelay)
 	})
 }
 
+// mayEnlarge reports whether an electorate tolerates fewer losses than configured, and all its voters have answered
+// since it is in force. Two voters are added at once, because four voters tolerate no more losses than three.
+func (m *Manager) mayEnlarge(e consensus.Electorate, age, rankDelay time.Duration) bool {
+	reachable, _, _ := m.options.Lease.Reachable()
+	settled := age > m.catchUpFraction(silenceFraction)+rankDelay
+	return settled && len(e.Voters)+2 <= m.WantedVoters() && len(reachable) == len(e.Voters)
+}
+
 // replaceSilent replaces a silent voter by the first successor for which that succeeds. It does not replace a voter
 // that answers again, or that answers another voter.
 func (m *Manager) replaceSilent(
-	ctx context.Context, base consensus.Base, silent string, successors []Learner, limit time.Duration,
+	ctx context.Context, base consensus.Base, silent string, successors []Learner, rankDelay time.Duration,
 ) {
 	if m.answersOthers(silent) && !mutants.On("electorate/asks-no-others") {
 		return
 	}
-	stillSilent := func() bool { return m.silentFor(silent, m.Age(base.Electorate)) > limit }
+	stillSilent := func() bool {
+		return m.silentFor(silent, m.Age(base.Electorate)) > m.silenceLimit(silent)+rankDelay
+	}
 	for _, successor := range successors {
 		if m.replace(ctx, base, silent, successor.Addr, changeTimeout, stillSilent) == nil {
 			return
--- a/internal/control/electorate/silence.go
+++ b/internal/control/electorate/silence.go
@@ -17,6 +17,8 @@
 const (
 	// silenceFraction is how long a voter may be silent before it is replaced. It outlasts a restart of the process.
 	silenceFraction = 0.6
+	// leftFraction is the same for a voter that has announced its shutdown and has not handed its vote over.
+	leftFraction = 0.1
 	// rankFraction is the longest additional wait of the last of the reachable voters. It separates their attempts, so
 	// that normally only one of them acts.
 	rankFraction = 0.05
@@ -36,24 +38,45 @@
 	return time.Duration(fraction * bound * float64(time.Second))
 }
 
-// silenceLimit returns how long a voter may be silent before this node replaces it. The limit rises with the rank of
-// this node among the reachable voters.
-func (m *Manager) silenceLimit(e consensus.Electorate, reachable []string) time.Duration {
+// rankDelay returns the time by which this node waits longer than the first of the reachable voters.
+func (m *Manager) rankDelay(e consensus.Electorate) time.Duration {
+	reachable, _, _ := m.options.Lease.Reachable()
 	rank := time.Duration(max(0, slices.Index(reachable, m.self)))
 	ranks := time.Duration(max(1, len(e.Voters)-1))
-	return m.catchUpFraction(silenceFraction) + rank*m.catchUpFraction(rankFraction)/ranks
+	return rank * m.catchUpFraction(rankFraction) / ranks
 }
 
-// firstSilent returns the first voter that has not answered for longer than limit, or "" if there is none.
-func (m *Manager) firstSilent(e consensus.Electorate, age, limit time.Duration) string {
+// silenceLimit returns how long a voter may be silent before the first of the reachable voters replaces it.
+func (m *Manager) silenceLimit(voter string) time.Duration {
+	if m.isLeaving(voter) {
+		return m.catchUpFraction(leftFraction)
+	}
+	return m.catchUpFraction(silenceFraction)
+}
+
+// firstSilent returns the first voter that has been silent for too long, or "" if there is none.
+func (m *Manager) firstSilent(e consensus.Electorate, age, rankDelay time.Duration) string {
 	for _, v := range e.Voters {
-		if m.silentFor(v.Addr, age) > limit {
+		if m.silentFor(v.Addr, age) > m.silenceLimit(v.Addr)+rankDelay {
 			return v.Addr
 		}
 	}
 	return ""
 }
 
+// RecordPong records whether a node that has answered a ping shuts down. A node without a pong does not.
+func (m *Manager) RecordPong(addr string, pong *transport.Pong) {
+	if peer := m.options.Peers.Find(addr); peer != nil {
+		peer.SetLeaving(pong != nil && pong.Leaving)
+	}
+}
+
+// isLeaving reports whether a node has announced its shutdown with its last answer to a ping.
+func (m *Manager) isLeaving(addr string) bool {
+	peer := m.options.Peers.Find(addr)
+	return peer != nil && peer.Leaving()
+}
+
 // silentFor returns the time since a voter's last answer, limited to the time since this process first saw the
 // electorate, because nodes that are no voters are not pinged.
 func (m *Manager) silentFor(addr string, electorateAge time.Duration) time.Duration {
@@ -68,8 +91,11 @@
 
 // answersOthers reports whether a voter that does not answer this node has lately answered another reachable voter.
 // Then only a link has failed, and a replacement would not help: two voters, each without a link to one of two nodes,
-// would replace these by each other forever.
+// would replace these by each other forever. A voter that shuts down is replaced in any case.
 func (m *Manager) answersOthers(silent string) bool {
+	if m.isLeaving(silent) {
+		return false
+	}
 	voters, _, _ := m.options.Lease.Reachable()
 	reports := make(chan bool, len(voters))
 	var asking sync.WaitGroup
--- a/internal/control/internal_server.go
+++ b/internal/control/internal_server.go
@@ -13,6 +13,7 @@
 	"mulleinrouter/internal/cluster/transport"
 	"mulleinrouter/internal/control/ingresslease"
 	"mulleinrouter/internal/control/shards"
+	"mulleinrouter/internal/mutants"
 )
 
 // acceptRetryInterval is the pause after a failed accept. It prevents a busy loop when the process is out of file
@@ -118,11 +119,16 @@
 	return answer
 }
 
-// pong reports when a node last answered this one. It returns nil if no node is named.
+// pong reports whether this node shuts down and, if another node is named, when that node last answered this one. It
+// returns nil if there is nothing to report.
 func (n *Node) pong(about string) *transport.Pong {
-	if about == "" {
+	leaving := n.leaving.Load() && !mutants.On("control/leaves-unannounced")
+	if about == "" && !leaving {
 		return nil
 	}
-	age := n.majority.Age(about)
-	return &transport.Pong{Answered: age >= 0, AnsweredAgo: max(0, age.Seconds())}
+	pong := &transport.Pong{Leaving: leaving}
+	if age := n.majority.Age(about); age >= 0 {
+		pong.Answered, pong.AnsweredAgo = true, age.Seconds()
+	}
+	return pong
 }
--- a/internal/control/losses_in_turn_test.go
+++ b/internal/control/losses_in_turn_test.go
@@ -10,6 +10,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/pebble/v2/vfs"
+
 	"mulleinrouter/internal/cluster/settings"
 	"mulleinrouter/internal/control/shards"
 )
@@ -20,6 +22,7 @@
 const (
 	replaced  lossKind = iota // it ends for good, and an empty node starts at another address after a gap
 	retired                   // the same, with SIGTERM
+	relieved                  // it gets SIGTERM, and after a gap, maybe before it ends, its successor starts
 	planned                   // an empty node starts at another address, and then the node ends with SIGTERM
 	wiped                     // it loses its disk, and starts again at the same address after a gap
 	restarted                 // it loses power, and starts again with its disk after a gap
@@ -28,7 +31,7 @@
 )
 
 func (k lossKind) String() string {
-	return [lossKinds]string{"replaced", "retired", "planned", "wiped", "restarted", "cut off"}[k]
+	return [lossKinds]string{"replaced", "retired", "relieved", "planned", "wiped", "restarted", "cut off"}[k]
 }
 
 // loss is a loss of one node and, for some kinds, its successor.
@@ -47,14 +50,16 @@
 // on the previous one again or on its successor: Bounds.CatchUp after its start.
 type lossesInTurn struct {
 	*testCluster
-	catchUp   time.Duration
-	version   int
-	addresses int // number of addresses in use so far
+	catchUp    time.Duration
+	version    int
+	addresses  int           // number of addresses in use so far
+	startDelay time.Duration // from the start of a machine until its process runs
 }
 
 func newLossesInTurn(t *testing.T, bounds settings.Bounds, coordination bool) *lossesInTurn {
 	c := &lossesInTurn{testCluster: newTestCluster(t, nil), addresses: 3}
 	c.bounds = bounds
+	c.gracePeriod = shutdownGracePeriod
 	c.clauses = map[string]bool{coordinationClause: coordination}
 	c.catchUp = time.Duration(bounds.CatchUp * float64(time.Second))
 	c.startFirst(3)
@@ -82,11 +87,22 @@
 	}
 }
 
-// startSuccessor starts an empty node at an address that no node has had.
-func (c *lossesInTurn) startSuccessor() {
+// startSuccessor starts an empty node at an address that no node has had. The channel is closed when it runs.
+func (c *lossesInTurn) startSuccessor() (running <-chan struct{}) {
 	c.addresses++
 	c.seeds = slices.Sorted(maps.Keys(c.nodes))
-	c.start(fmt.Sprintf("10.0.0.%d:81", c.addresses), newDisk(), false)
+	return c.startLater(fmt.Sprintf("10.0.0.%d:81", c.addresses), newDisk())
+}
+
+// startLater starts a node after startDelay. The channel is closed when it runs.
+func (c *lossesInTurn) startLater(addr string, disk *vfs.MemFS) <-chan struct{} {
+	running := make(chan struct{})
+	go func() {
+		defer close(running)
+		time.Sleep(c.startDelay)
+		c.start(addr, disk, false)
+	}()
+	return running
 }
 
 // lose plays a loss of a node, until nothing counts as lost any more.
@@ -95,31 +111,38 @@
 	advance(time.Until(back.Add(c.catchUp)))
 }
 
-// endAndReturn plays a loss until the node or its successor runs, and returns the time since when it does.
+// endAndReturn plays a loss until the node or its successor runs, and returns the start of that one's machine.
 func (c *lossesInTurn) endAndReturn(addr string, l loss) (back time.Time) {
 	switch l.kind {
 	case replaced:
 		c.remove(addr)
 		advance(l.gap)
-		c.startSuccessor()
+		defer wait(c.startSuccessor())
 	case retired:
 		c.shutDown(addr)
 		advance(l.gap)
-		c.startSuccessor()
+		defer wait(c.startSuccessor())
+	case relieved:
+		ended := c.shutDownLater(addr)
+		advance(l.gap)
+		started, running := time.Now(), c.startSuccessor()
+		wait(ended)
+		wait(running)
+		return started
 	case planned:
-		c.startSuccessor()
-		started := time.Now()
+		started, running := time.Now(), c.startSuccessor()
 		advance(l.gap)
-		c.shutDown(addr)
+		wait(c.shutDownLater(addr))
+		wait(running)
 		return started
 	case wiped:
 		c.remove(addr)
 		advance(l.gap)
-		c.start(addr, newDisk(), false)
+		defer wait(c.startLater(addr, newDisk()))
 	case restarted:
 		disk := c.remove(addr)
 		advance(l.gap)
-		c.start(addr, disk, false)
+		defer wait(c.startLater(addr, disk))
 	case cutOff:
 		c.partition(addr, true)
 		advance(l.gap)
@@ -128,16 +151,21 @@
 	return time.Now()
 }
 
-// snapshotDelay is how long a node may take to get a newer snapshot that a majority has, if the proposer ended before
-// it notified the node. It learns of that snapshot by the next update of a peer (transport.KeepaliveInterval).
-const snapshotDelay = time.Second
+// shutDownLater shuts a node down in the background. The channel is closed when it has ended.
+func (c *lossesInTurn) shutDownLater(addr string) <-chan struct{} {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		c.shutDown(addr)
+	}()
+	return ended
+}
+
+func wait(done <-chan struct{}) { <-done }
 
 // requireAllVote fails the test unless every voter of the electorate runs and votes.
 func (c *lossesInTurn) requireAllVote(after string) {
 	c.Helper()
-	if c.notVoting() != "" {
-		advance(snapshotDelay)
-	}
 	if wrong := c.notVoting(); wrong != "" {
 		c.t.Fatalf("after %s, %s", after, wrong)
 	}
@@ -192,7 +220,11 @@
 					gap := lossGaps[random.IntN(len(lossGaps))]
 					losses = append(losses, loss{lossKind(random.IntN(lossKinds)), gap})
 				}
-				synctest.Test(t, func(t *testing.T) { newLossesInTurn(t, bounds, seed%2 == 1).play(random, losses) })
+				synctest.Test(t, func(t *testing.T) {
+					c := newLossesInTurn(t, bounds, seed%2 == 1)
+					c.startDelay = time.Duration(random.IntN(800)) * time.Millisecond
+					c.play(random, losses)
+				})
 			})
 		}
 	}
@@ -219,3 +251,41 @@
 		}
 	}
 }
+
+// Guards against a successor that does not vote in time because it had not joined yet when the node that it replaces
+// received SIGTERM: the vote was not handed over then, and that node counted as one that may return.
+func TestSlowSuccessorOfNodeThatShutsDown(t *testing.T) {
+	for _, order := range slowSuccessors() {
+		t.Run(order.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { order.play(t) })
+		})
+	}
+}
+
+// slowSuccessor is a replacement of a node that shuts down by one whose process takes long to start.
+type slowSuccessor struct {
+	loss
+	startDelay time.Duration
+}
+
+// slowSuccessors are replacements in which the shutdown begins at different moments of the start of the successor.
+func slowSuccessors() (all []slowSuccessor) {
+	for _, kind := range []lossKind{planned, relieved} {
+		for gap := time.Duration(0); gap <= 2*time.Second; gap += 200 * time.Millisecond {
+			for _, delay := range []time.Duration{400 * time.Millisecond, 1200 * time.Millisecond} {
+				all = append(all, slowSuccessor{loss{kind, gap}, delay})
+			}
+		}
+	}
+	return all
+}
+
+func (s slowSuccessor) String() string {
+	return fmt.Sprintf("%v, gap %v, start %v", s.kind, s.gap, s.startDelay)
+}
+
+func (s slowSuccessor) play(t *testing.T) {
+	c := newLossesInTurn(t, siteBounds[0], true)
+	c.startDelay = s.startDelay
+	c.play(rand.New(rand.NewPCG(uint64(s.gap), 7)), slices.Repeat([]loss{s.loss}, 4))
+}
--- a/internal/control/machines_test.go
+++ b/internal/control/machines_test.go
@@ -48,7 +48,7 @@
 			Clock:       replication.NewClock(func() float64 { return time.Since(g.began).Seconds() }),
 			Ready:       func() bool { return true },
 		}
-		x.Dial = func(context.Context) (net.Conn, error) { return g.dial("", inner) }
+		x.Dial = func(context.Context) (net.Conn, error) { return g.dialFromOutside(inner) }
 		x.OnUpdate = func(f *transport.Update) { g.checkUpdate(a, f) }
 		x.OnConnection = func(up bool, _ error) {
 			if !up {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -95,6 +95,7 @@
 	shards      *shards.Service // nil if coordinationClause is not in force
 	api         *httpapi.Server
 
+	leaving       atomic.Bool   // the shutdown has begun
 	wakeWatch     chan struct{} // makes watch start its next round at once
 	lastInContact atomic.Bool   // whether the majority lease was held in the last round of watch
 	// confirmedTerm is the term of the majority lease in which the local snapshot was confirmed as the newest; 0 if
@@ -179,6 +180,7 @@
 		close(handedOver)
 	case <-ctx.Done():
 		level.Info(n.log).Log("msg", "shutting down")
+		n.leaving.Store(true)
 		go func() {
 			defer close(handedOver)
 			n.transferShardLeases()
--- a/internal/control/node_test.go
+++ b/internal/control/node_test.go
@@ -33,6 +33,7 @@
 	t            *testing.T
 	seeds        []string
 	nodes        map[string]*testNode
+	killed       []*testNode // nodes that have lost power, and whose goroutines may still be ending
 	incarnations uint64
 
 	mu          sync.Mutex      // guards partitioned, meter, and changes of nodes, which dial reads at any time
@@ -58,6 +59,7 @@
 	clockSkew    atomic.Int64 // nanoseconds by which the clock of its majority lease is fast
 	stop         context.CancelFunc
 	ended        chan error
+	crashed      bool // it has lost power and reaches no other node; guarded by the mutex of the cluster
 }
 
 // pipeListener is a net.Listener that accepts connections over pipes.
@@ -84,6 +86,16 @@
 
 func (p *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
+// closeDialed closes the connections from and to the node.
+func (p *pipeListener) closeDialed() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conn := range p.dialed {
+		conn.Close()
+	}
+	p.dialed = nil
+}
+
 func (p *pipeListener) Close() error {
 	p.once.Do(func() { close(p.closed) })
 	return nil
@@ -201,7 +213,7 @@
 		},
 		Log: logtest.Discard(), FS: n.stallingDisk, Incarnation: c.incarnations, Control: n.control,
 		Internal: n.internal,
-		Dial:     func(_ context.Context, inner string) (net.Conn, error) { return c.dial(addr, inner) },
+		Dial:     func(_ context.Context, inner string) (net.Conn, error) { return c.dial(n, inner) },
 	})
 	c.NoErr(err)
 	n.gracePeriod = c.gracePeriod
@@ -215,11 +227,16 @@
 	return n
 }
 
-func (c *testCluster) dial(from, inner string) (net.Conn, error) {
+// dial connects a control node to the node with an internal address.
+func (c *testCluster) dial(dialer *testNode, inner string) (net.Conn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if dialer.crashed {
+		return nil, net.ErrClosed
+	}
+	from := dialer.addr
 	for _, n := range c.nodes {
-		partitioned := c.partitioned[n.addr] || c.partitioned[from]
+		partitioned := n.crashed || c.partitioned[n.addr] || c.partitioned[from]
 		if n.settings.InternalAddrOf(n.addr) != inner || partitioned || c.links.severedBetween(from, n.addr) {
 			continue
 		}
@@ -230,12 +247,10 @@
 		if c.links != nil {
 			here, there = c.links.wrap(from, n.addr, here, there)
 		}
-		for _, x := range []*testNode{n, c.nodes[from]} {
-			if x != nil {
-				x.internal.mu.Lock()
-				x.internal.dialed = append(x.internal.dialed, here)
-				x.internal.mu.Unlock()
-			}
+		for _, x := range []*testNode{n, dialer} {
+			x.internal.mu.Lock()
+			x.internal.dialed = append(x.internal.dialed, here)
+			x.internal.mu.Unlock()
 		}
 		select {
 		case n.internal.conns <- there:
@@ -246,31 +261,32 @@
 	return nil, net.ErrClosed
 }
 
+// dialFromOutside connects a process that is no control node to the node with an internal address.
+func (c *testCluster) dialFromOutside(inner string) (net.Conn, error) {
+	return c.dial(&testNode{internal: newPipeListener()}, inner)
+}
+
 // partition separates a node from the others if on is true, and connects it again otherwise. It closes the node's
 // connections.
 func (c *testCluster) partition(addr string, on bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.partitioned[addr] = on
-	n := c.nodes[addr]
-	n.internal.mu.Lock()
-	for _, nc := range n.internal.dialed {
-		nc.Close()
-	}
-	n.internal.dialed = nil
-	n.internal.mu.Unlock()
+	c.nodes[addr].internal.closeDialed()
 }
 
 // crash makes a node lose power. Messages in flight and about half of the unsynced data are lost. It returns the node's
 // disk.
 func (c *testCluster) crash(addr string) *vfs.MemFS {
 	n := c.nodes[addr]
-	c.partition(addr, true)
+	c.mu.Lock()
+	n.crashed = true
+	c.killed = append(c.killed, n)
+	c.mu.Unlock()
+	n.internal.closeDialed()
 	disk := n.fs.CrashClone(vfs.CrashCloneCfg{UnsyncedDataPercent: 50, RNG: rand.New(rand.NewPCG(c.incarnations, 1))})
 	n.stallingDisk.setStalled(false)
 	n.stop()
-	<-n.ended
-	c.partition(addr, false)
 	return disk
 }
 
@@ -292,6 +308,9 @@
 		n.stop()
 		c.NoErr(<-n.ended)
 	}
+	for _, n := range c.killed {
+		c.NoErr(<-n.ended)
+	}
 	synctest.Wait()
 }
 
@@ -590,7 +609,7 @@
 					Ready:       func() bool { return i < 4 },
 				}
 				x.Dial = func(context.Context) (net.Conn, error) {
-					return c.dial("", c.nodes[a].settings.InternalAddrOf(a))
+					return c.dialFromOutside(c.nodes[a].settings.InternalAddrOf(a))
 				}
 				clients = append(clients, x)
 				agents.Go(func() { x.Run(ctx) })
--- a/internal/control/peers/set.go
+++ b/internal/control/peers/set.go
@@ -59,6 +59,7 @@
 	client *replication.Client
 	stop   context.CancelFunc // ends the client
 	zone   atomic.Pointer[string]
+	leaves atomic.Bool               // the peer shuts down
 	lostAt atomic.Pointer[time.Time] // end of the last connection or, before the first one, time of the subscription
 }
 
@@ -243,6 +244,12 @@
 // and so is known to run.
 func (p *Peer) RetryNow() { p.client.RetryNow() }
 
+// SetLeaving records whether the peer has announced its shutdown.
+func (p *Peer) SetLeaving(leaving bool) { p.leaves.Store(leaving) }
+
+// Leaving reports whether the peer has announced its shutdown with its last answer to a ping.
+func (p *Peer) Leaving() bool { return p.leaves.Load() }
+
 // SetZone records the zone that the peer has reported.
 func (p *Peer) SetZone(zone string) { p.zone.Store(&zone) }
 
--- a/internal/control/replacement_mutants_test.go
+++ b/internal/control/replacement_mutants_test.go
@@ -30,5 +30,17 @@
 			})
 			return failures
 		}},
+		{"control/leaves-unannounced", func(t *testing.T) (failures []string) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newLossesInTurn(t, siteBounds[0], false)
+				defer c.stopAll()
+				c.startDelay = 1200 * time.Millisecond
+				c.lose(c.seeds[rand.IntN(len(c.seeds))], loss{planned, time.Second})
+				if wrong := c.notVoting(); wrong != "" {
+					failures = append(failures, wrong)
+				}
+			})
+			return failures
+		}},
 	})
 }
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -140,7 +140,11 @@
 // of watch pings again.
 func (n *Node) pingVoter(voter string) {
 	answer := n.peers.Call(voter, majority.TTL, &transport.Frame{Ping: &transport.Ping{}})
-	if answer != nil && !n.lastInContact.Load() && n.majority.Held() {
+	if answer == nil {
+		return
+	}
+	n.electorate.RecordPong(voter, answer.Pong)
+	if !n.lastInContact.Load() && n.majority.Held() {
 		n.notifyWatch()
 	}
 }
