Keep the recent number of ingresses over restarts of the control nodes

Cause: the disk had the present count of ingresses, and a restarted node replaced the restored number at its first count, because it had no time. Change: the recent number is stored, synced when it rises, and counts for its span after a restart; a new node adopts the numbers of the others.

--- a/internal/control/ingresslease/table.go
+++ b/internal/control/ingresslease/table.go
@@ -29,14 +29,14 @@
 // Table holds the leases of the ingresses that subscribe to this node. The zero value is an empty table. It is safe
 // for concurrent use.
 type Table struct {
-	mu      sync.Mutex       // guards leases and changed
-	leases  map[string]lease // by node name of the ingress
-	changed bool             // whether the ranks must be computed again
+	mu       sync.Mutex       // guards the fields of this group
+	leases   map[string]lease // by node name of the ingress
+	changed  bool             // whether the ranks must be computed again
+	recentAt time.Time        // time of the last number that was as high as recent
 
 	published  atomic.Int64
 	lowerBound atomic.Int64 // count from before this term of contact
 	recent     atomic.Int64 // highest number of leases since recentAt, of ready ingresses or not
-	recentAt   time.Time    // time of the last number as high as recent; used by Count only
 	ranks      atomic.Pointer[map[string]zoneRank]
 }
 
@@ -75,8 +75,9 @@
 	}
 }
 
-// countReady returns the number of valid leases of ready ingresses and of all, and removes expired leases.
-func (t *Table) countReady(now time.Time) (ready, all int) {
+// countReady returns the number of ready ingresses whose leases are valid, removes expired leases, and records the number
+// of all valid leases.
+func (t *Table) countReady(now time.Time) (ready int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for node, l := range t.leases {
@@ -87,13 +88,14 @@
 			ready++
 		}
 	}
-	return ready, len(t.leases)
+	t.observeRecent(now, int64(len(t.leases)))
+	return ready
 }
 
-// observeRecent records the number of leases. A lower number replaces the highest one after recentSpan.
-func (t *Table) observeRecent(now time.Time, leases int64) {
-	if leases >= t.recent.Load() || now.Sub(t.recentAt) > recentSpan {
-		t.recent.Store(leases)
+// observeRecent records a number of ingresses. A lower number replaces the highest one after recentSpan. t.mu is held.
+func (t *Table) observeRecent(now time.Time, count int64) {
+	if count >= t.recent.Load() || now.Sub(t.recentAt) > recentSpan {
+		t.recent.Store(count)
 		t.recentAt = now
 	}
 }
@@ -102,10 +104,18 @@
 // as of the last Count. If many ingresses start together, each of them counts here before it is ready.
 func (t *Table) Recent() int64 { return max(t.recent.Load(), t.Published()) }
 
-// Restore sets the lower bound and the recent number to the count that was stored on disk.
-func (t *Table) Restore(count int) {
-	t.lowerBound.Store(int64(count))
-	t.recent.Store(int64(count))
+// Restore sets the lower bound to the recent number that was stored on disk. That number also counts as a recent one
+// for recentSpan, because ingresses that were lost before this process started may return.
+func (t *Table) Restore(recent int) {
+	t.lowerBound.Store(int64(recent))
+	t.AdoptRecent(int64(recent))
+}
+
+// AdoptRecent records a recent number of ingresses that this process has not counted itself.
+func (t *Table) AdoptRecent(recent int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.observeRecent(time.Now(), max(recent, t.recent.Load()))
 }
 
 // BeginTerm makes the published count the lower bound for a new term of contact.
@@ -119,9 +129,7 @@
 // ingresses have had time to renew their leases here, it is not below the lower bound, because shares of quotas that
 // are too large cannot be revoked.
 func (t *Table) Count(now, termStart time.Time) int64 {
-	ready, all := t.countReady(now)
-	t.observeRecent(now, int64(all))
-	count := int64(ready)
+	count := int64(t.countReady(now))
 	switch elapsed := now.Sub(termStart); {
 	case elapsed < initialRenewalPeriod:
 		return t.lowerBound.Load()
--- a/internal/control/ingresslease/table_test.go
+++ b/internal/control/ingresslease/table_test.go
@@ -89,3 +89,28 @@
 		check("when they start after a long time", all-lost, all)
 	})
 }
+
+// Guards against a control node that forgets the recent number of ingresses when it is restarted while many are down.
+func TestRestoredRecent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const all, left = 11, 4
+		var table Table
+		table.Restore(all)
+		start := time.Now()
+		check := func(name string, want int64) {
+			t.Helper()
+			for n := range left {
+				table.Renew(&transport.Hello{Node: fmt.Sprint("n", n), Zone: "z"}, true)
+			}
+			table.Publish(table.Count(time.Now(), start))
+			if got := table.Recent(); got != want {
+				t.Errorf("%s: got %d, want %d", name, got, want)
+			}
+		}
+		check("at the start", all)
+		time.Sleep(recentSpan)
+		check("after a while", all)
+		time.Sleep(time.Second)
+		check("after a long time", left)
+	})
+}
--- a/internal/control/storage/batch.go
+++ b/internal/control/storage/batch.go
@@ -17,7 +17,7 @@
 	Items           []configuration.Item // each replaces the item with its key
 	Instances       []registry.Instance  // each replaces the instance with its id
 	DeleteInstances []string             // ids of the instances to delete
-	IngressCount    int                  // number of ingresses; 0 means unchanged
+	IngressCount    int                  // recent number of ingresses; 0 means unchanged
 	Stage           *StageProgress
 	StagedItems     []configuration.Item // each replaces the staged item with its key
 	ClearStage      bool                 // deletes all that is staged, before Stage and StagedItems are written
--- a/internal/control/storage/state.go
+++ b/internal/control/storage/state.go
@@ -20,7 +20,7 @@
 	Acceptor     consensus.Acceptor   // Pending is the accepted proposal that is not known to be chosen
 	Items        []configuration.Item // chosen items in the order of their keys
 	Instances    []registry.Instance  // server instances of all phases, as last written
-	IngressCount int                  // last count of ingresses; 0 means never counted
+	IngressCount int                  // recent number of ingresses; 0 means never counted
 	Stage        *StageProgress       // progress of a catch-up; nil if none is in progress
 	StagedItems  []configuration.Item // items fetched by that catch-up, not part of Items yet
 	Shards       map[uint32]shard.State
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -27,6 +27,9 @@
 	// warmUpFactor is the number of heartbeat intervals after the start in which every server has had time to send a
 	// heartbeat, with a margin for late ones.
 	warmUpFactor = 1.2
+	// recentAdoptionSpan is the time after the start for which a node adopts the recent numbers of ingresses that the
+	// others report. Later they would keep an old number in force among each other.
+	recentAdoptionSpan = 5 * time.Second
 )
 
 // watcher is the state that watch keeps between its rounds.
@@ -35,6 +38,8 @@
 	term      uint64    // term of the majority lease in the last round
 	termStart time.Time // time of the round in which watch first saw this term
 	lag       catchup.Lag
+
+	savedRecent int64 // recent number of ingresses that was saved last
 }
 
 // watch does the periodic work until the context ends. The goroutines that it starts run in wg.
@@ -75,6 +80,7 @@
 	}
 	w.detectSilent(held)
 	w.publishIngressCount(now, held)
+	w.saveRecentIngressCount()
 	w.counters.update(w.internalAddrs(reachable), term, held)
 	if held && (w.confirmedTerm.Load() != term || w.hasOrphan(now)) {
 		w.proposals.RequestConfirmation()
@@ -98,13 +104,26 @@
 	count := w.ingresses.Count(now, w.termStart)
 	if held && w.ingresses.Publish(count) {
 		level.Info(w.log).Log("msg", "ingress count changed", "count", count)
-		if disk := w.disk.Load(); disk != nil && count > 0 {
-			disk.Put(storage.Batch{IngressCount: int(count), NoSync: true})
-		}
 	}
 	w.ingresses.UpdateRanks()
 }
 
+// saveRecentIngressCount saves the recent number of ingresses if it has changed. While this process is new, it first
+// adopts the numbers of the other control nodes, because its disk may be empty or its number old.
+func (w *watcher) saveRecentIngressCount() {
+	if w.uptime() < recentAdoptionSpan.Seconds() {
+		for _, p := range w.peers.All() {
+			w.ingresses.AdoptRecent(int64(p.State().Recent))
+		}
+	}
+	recent, disk := w.ingresses.Recent(), w.disk.Load()
+	if disk == nil || recent == 0 || recent == w.savedRecent {
+		return
+	}
+	disk.Put(storage.Batch{IngressCount: int(recent), NoSync: recent < w.savedRecent})
+	w.savedRecent = recent
+}
+
 // updateLag records whether another node has had a newer snapshot for more than catchup.MaxLag, and notifies
 // subscribers when that changes.
 func (w *watcher) updateLag(now time.Time) {
