Let counter owners that are not confirmed return partial totals

Cause: a new owner of a counter returned no total for 2 s, while it accepted reports; so the gateways that stayed kept slices that summed up to the quota beside the even slices of those that returned, for 3.5 s in place of 1.5. Change: such an owner returns the total of the reports that it has. A gateway may shrink its slice by it, never enlarge. TestQuotaIsServedWhileSlicesAreLearned and the other bounds on rejections hold unchanged.

--- a/internal/cluster/quota/counter_table.go
+++ b/internal/cluster/quota/counter_table.go
@@ -91,7 +91,7 @@
 // Add processes a report or a read-only query, at a time in seconds.
 //
 // An owner accepts reports as soon as it owns the counter, so that it has all of them once its ownership is confirmed;
-// until then it answers without OK. Each reporter counts with its report for the cycle or, if it has not reported yet,
+// until then it answers without OK, by a partial total. Each reporter counts with its report for the cycle or, if it has not reported yet,
 // with its last report if that is younger than LateReportRetention. PerRequest reports count for their own cycle alone.
 // The serials of a reporter must rise, and far fewer than serialWindow of them may be in flight at once; a restarted
 // process reports under another name or continues above its last serial. After its last use, a counter is kept for the
@@ -121,14 +121,8 @@
 	if !report.ReadOnly {
 		c.add(now, report)
 	}
-	switch {
-	case !confirmed && report.ReadOnly:
-		return Total{}
-	case !confirmed:
-		return Total{Reporters: 1}
-	}
 	sum, reporters := c.total(now, report.Cycle)
-	return Total{OK: true, Sum: sum, Reporters: reporters}
+	return Total{OK: confirmed, Sum: sum, Reporters: reporters}
 }
 
 // newCounter creates a counter. If there are too many, it replaces the least recently used one.
--- a/internal/decision/counter_cycles.go
+++ b/internal/decision/counter_cycles.go
@@ -83,12 +83,14 @@
 // So the slices always sum up to Q, and if the demand exceeds Q, each gateway can admit the same share of its
 // demand.
 func (c *customer) setSliceFromTotals(grantable float64) {
-	cycle := &c.cycle
-	if cycle.totalRate > grantable {
-		c.bucket.slice = grantable * cycle.localRate / cycle.totalRate
-		return
+	c.bucket.slice = sliceFromTotals(c.cycle.localRate, c.cycle.totalRate, c.cycle.reporters, grantable)
+}
+
+func sliceFromTotals(localRate, totalRate, reporters, grantable float64) float64 {
+	if totalRate > grantable {
+		return grantable * localRate / totalRate
 	}
-	c.bucket.slice = cycle.localRate + (grantable-cycle.totalRate)/cycle.reporters
+	return localRate + (grantable-totalRate)/reporters
 }
 
 // grantable returns the units per second that the given number of reporting gateways may admit together. Idle
@@ -198,8 +200,11 @@
 		return
 	}
 	current := c.cycle.stage != stageNoCall && c.counterName(c.cycle.number) == e.Name
-	if c.sparse.active || !current || e.Outcome != Succeeded {
-		c.observeReportAccepted(g.now, e)
+	if c.sparse.active || !current {
+		return
+	}
+	if e.Outcome != Succeeded {
+		g.handlePartialTotal(c, e)
 		return
 	}
 	if g.settings.PairCounters {
--- a/internal/decision/events.go
+++ b/internal/decision/events.go
@@ -89,7 +89,7 @@
 }
 
 // CounterReply reports the end of a CounterCall. The outcome Failed with Reporters above 0 means that the
-// counter accepted the call, but returns no total yet.
+// counter accepted the call, but may not have the reports of all gateways yet: the total is partial, or 0.
 type CounterReply struct {
 	Name      string
 	Outcome   Outcome
--- a/internal/decision/pair_counters.go
+++ b/internal/decision/pair_counters.go
@@ -63,12 +63,27 @@
 	c.setSliceFromTotals(c.grantable(reporters)) // gateways that have not reported yet keep their share
 }
 
-// observeReportAccepted records that a counter owner accepted a report but returned no total, because it
-// does not have all other reports yet. The slice stays unchanged, and no other gateway gets it.
-func (c *customer) observeReportAccepted(now Seconds, e CounterReply) {
-	if e.Outcome == Failed && e.Reporters > 0 && e.Name == c.counterName(c.cycle.number) {
-		c.pairs.ackedAt = now
+// handlePartialTotal processes the reply of a counter owner that may not have all reports yet, because the
+// counters have just moved to it or it has restarted. An accepted report keeps the slice, because no other
+// gateway gets it. A partial total may shrink the slice and never enlarges it. It must be able to shrink it:
+// gateways that have just started have even slices beside those of the others, which may sum up to the quota.
+func (g *Gateway) handlePartialTotal(c *customer, e CounterReply) {
+	cycle := &c.cycle
+	if !g.settings.PairCounters || e.Outcome != Failed || e.Reporters < 1 {
+		return
+	}
+	if cycle.stage == stageReported {
+		c.pairs.ackedAt = g.now
+		cycle.readAt = g.now + readDelay
+		return
+	}
+	if e.Total < cycle.localRate*demandTolerance-minReportedRate {
+		return // it has not counted this gateway, or is from an owner that sends no partial totals
 	}
+	reporters := float64(e.Reporters)
+	grantable := c.grantable(min(reporters, c.gateways))
+	g.refill(c)
+	c.bucket.slice = min(c.bucket.slice, sliceFromTotals(cycle.localRate, e.Total, reporters, grantable))
 }
 
 // observeOwnerReply records that an owner of pair counters replied to any call.
--- a/internal/proxy/counter_calls.go
+++ b/internal/proxy/counter_calls.go
@@ -56,8 +56,8 @@
 	switch {
 	case total == nil:
 		cf.engine.PairCounterReplied(call, decision.Failed, 0, 0)
-	case !total.OK: // Reporters > 0: the owner accepted this report but may not have those of others yet
-		cf.engine.PairCounterReplied(call, decision.Failed, 0, total.Reporters)
+	case !total.OK: // partial if Reporters > 0
+		cf.engine.PairCounterReplied(call, decision.Failed, total.Sum, total.Reporters)
 	default:
 		cf.engine.PairCounterReplied(call, decision.Succeeded, total.Sum, total.Reporters)
 	}
