Give up late puts by the clock and not by the timer of their context

Cause: a process that was suspended after it had read a put queued it with a new time-out after it woke, because the timer of the expired context may run later than the goroutine that looks at it. Found by reading; no caller saw it. Change: the limit of a put begins before its connection is checked, and the shards compare it with the clock before they evaluate, queue or send a call that is not read-only. Test: TestExpiredCallIsNotForwarded failed before (one call queued, outcome unknown) and passes.

--- a/internal/control/httpapi/call.go
+++ b/internal/control/httpapi/call.go
@@ -143,8 +143,14 @@
 	if c.endpoint.needsContact && !c.awaitContact(c.request.Context()) {
 		return errorReply(ErrNoContact)
 	}
-	if c.endpoint.prompt && !c.isPrompt(c.request) {
-		return errorReply(ErrNoContact)
+	if c.endpoint.prompt {
+		// The limit begins before the check, so that it has expired after a suspension that the check did not see.
+		ctx, cancel := context.WithTimeout(c.request.Context(), promptCallTimeout)
+		defer cancel()
+		if !c.isPrompt(c.request) {
+			return errorReply(ErrNoContact)
+		}
+		c.request = c.request.WithContext(ctx)
 	}
 	began := time.Now()
 	answer, err := c.endpoint.handle(c.Server, c.request, body)
--- a/internal/control/httpapi/promptness.go
+++ b/internal/control/httpapi/promptness.go
@@ -13,6 +13,9 @@
 // majority lease. So a put is handled only if the lease was held without interruption from the time at which its
 // connection began to wait for it: then the put was read at most majority.TTL after it had arrived.
 
+// promptCallTimeout limits the handling of such a call. Its caller repeats it elsewhere after a second.
+const promptCallTimeout = time.Second
+
 // backlogSpan is the time after the start of a term of the lease in which connections are accepted that may have been
 // waiting for that since before.
 const backlogSpan = time.Second
--- a/internal/control/shards/calls.go
+++ b/internal/control/shards/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -34,6 +35,16 @@
 	return result, err
 }
 
+// timeLeft returns the time until the deadline of a context. A process that was suspended past the deadline sees this
+// at once, while the context may still seem to be in force until its timer has run.
+func timeLeft(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return time.Duration(math.MaxInt64)
+	}
+	return time.Until(deadline)
+}
+
 func (s *Service) do(ctx context.Context, r coordination.Request) (coordination.Result, error) {
 	unknown := false
 	for redirects := 0; ; {
@@ -123,6 +134,9 @@
 // has been received, so that the answer was true at that moment.
 func (h *host) serve(ctx context.Context, r coordination.Request) (coordination.Result, error) {
 	for {
+		if !r.ReadOnly() && timeLeft(ctx) <= 0 {
+			return coordination.Result{}, errNotLeaseholder
+		}
 		out, committed, changed, err := h.evaluate(r)
 		if err != nil {
 			return coordination.Result{}, err
@@ -188,11 +202,15 @@
 	return coordination.Result{}, ErrUnknownOutcome
 }
 
-// forward sends a request to another node for evaluation. Without an answer its outcome is unknown. Leader is the
-// leaseholder that the other node named.
+// forward sends a request to another node for evaluation, unless the context has expired. Without an answer its outcome
+// is unknown. Leader is the leaseholder that the other node named.
 func (s *Service) forward(ctx context.Context, to string, r coordination.Request) (
 	result coordination.Result, leader string, err error,
 ) {
+	timeout := min(forwardTimeout+time.Duration(r.WaitMs)*time.Millisecond, timeLeft(ctx))
+	if timeout <= 0 {
+		return result, "", errNotLeaseholder
+	}
 	reply := make(chan transport.CoordinationReply, 1)
 	s.mu.Lock()
 	s.lastCall++
@@ -200,7 +218,6 @@
 	s.forwards[id] = reply
 	s.mu.Unlock()
 	defer s.removeForward(id)
-	timeout := forwardTimeout + time.Duration(r.WaitMs)*time.Millisecond
 	s.outbox(to).addCall(s.now()+timeout.Seconds(), transport.CoordinationCall{ID: id, Request: r})
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
