--- a/internal/control/shards/calls.go
+++ b/internal/control/shards/calls.go
@@ -211,12 +211,7 @@
 	if timeout <= 0 {
 		return result, "", errNotLeaseholder
 	}
-	reply := make(chan transport.CoordinationReply, 1)
-	s.mu.Lock()
-	s.lastCall++
-	id := s.lastCall
-	s.forwards[id] = reply
-	s.mu.Unlock()
+	id, reply := s.addForward()
 	defer s.removeForward(id)
 	s.outbox(to).addCall(s.now()+timeout.Seconds(), transport.CoordinationCall{ID: id, Request: r})
 	timer := time.NewTimer(timeout)
@@ -251,6 +246,16 @@
 	return rand.NewPCG(incarnation, stream).Uint64() | upperHalf
 }
 
+// addForward numbers a call, and returns its number and the channel on which its reply arrives.
+func (s *Service) addForward() (id uint64, reply <-chan transport.CoordinationReply) {
+	waiting := make(chan transport.CoordinationReply, 1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastCall++
+	s.forwards[s.lastCall] = waiting
+	return s.lastCall, waiting
+}
+
 func (s *Service) removeForward(id uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
