Count a voter's silence from its own first sight, and reserve time for overlapping losses

Cause: where two machines may be lost at once, the silence of a voter counted from the last change of the electorate, a shard transferred its lease in the middle of a change of its voters, and an election of a shard came on top. So a second successor voted after catchUpS, and the next loss that the operators allow left two of five voters, for good. Change: firstSeen keeps a time for each voter; all silent voters are tried; no transfer to a preferred voter while a change is due; with two losses the silence is at most catchUpS - 3.1 s.

--- a/internal/cluster/shard/membership.go
+++ b/internal/cluster/shard/membership.go
@@ -28,6 +28,14 @@
 	}
 }
 
+// HasVoters reports whether the voters are those of a target, in any order.
+func (r *Replica) HasVoters(target []consensus.Voter) bool {
+	if len(r.voters) != len(target) {
+		return false
+	}
+	return !slices.ContainsFunc(r.voters, func(v consensus.Voter) bool { return !slices.Contains(target, v) })
+}
+
 // nextVoters returns the next set of voters on the way to a target; nil means no change now. A voter whose disk was
 // replaced, or that does not answer, is removed first, because it does not help to form a majority.
 func (r *Replica) nextVoters(target []consensus.Voter, now float64) []consensus.Voter {
--- a/internal/control/electorate/changes.go
+++ b/internal/control/electorate/changes.go
@@ -47,23 +47,21 @@
 		return
 	}
 	rankDelay := m.rankDelay(e)
-	silent := m.firstSilent(e, age, rankDelay)
-	enlarge := silent == "" && m.mayEnlarge(e, age, rankDelay)
-	if silent == "" && !enlarge {
-		return
-	}
-	successors := m.successors(e, silent)
-	if len(successors) == 0 || enlarge && len(successors) < 2 {
+	silent := m.silentVoters(e, rankDelay)
+	learners := m.successors(e, "")
+	var change func()
+	switch {
+	case len(silent) > 0 && len(learners) > 0:
+		change = func() { m.replaceSilent(ctx, base, silent, rankDelay) }
+	case len(silent) == 0 && len(learners) > 1 && m.mayEnlarge(e, age, rankDelay):
+		change = func() { m.enlarge(ctx, base, learners[:2]) }
+	default:
 		return
 	}
 	m.changing.Store(true)
 	wg.Go(func() {
 		defer m.changing.Store(false)
-		if enlarge {
-			m.enlarge(ctx, base, successors[:2])
-			return
-		}
-		m.replaceSilent(ctx, base, silent, successors, rankDelay)
+		change()
 	})
 }
 
@@ -71,24 +69,24 @@
 // since it is in force. Two voters are added at once, because four voters tolerate no more losses than three.
 func (m *Manager) mayEnlarge(e consensus.Electorate, age, rankDelay time.Duration) bool {
 	reachable, _, _ := m.options.Lease.Reachable()
-	settled := age > m.catchUpFraction(silenceFraction)+rankDelay
+	settled := age > m.maxSilence()+rankDelay
 	return settled && len(e.Voters)+2 <= m.WantedVoters() && len(reachable) == len(e.Voters)
 }
 
-// replaceSilent replaces a silent voter by the first successor for which that succeeds. It does not replace a voter
-// that answers again, or that answers another voter.
+// replaceSilent replaces one of the silent voters by the first successor for which that succeeds. It does not replace a
+// voter that answers again, or that answers another voter.
 func (m *Manager) replaceSilent(
-	ctx context.Context, base consensus.Base, silent string, successors []Learner, rankDelay time.Duration,
+	ctx context.Context, base consensus.Base, silent []consensus.Voter, rankDelay time.Duration,
 ) {
-	if m.answersOthers(silent) && !mutants.On("electorate/asks-no-others") {
-		return
-	}
-	stillSilent := func() bool {
-		return m.silentFor(silent, m.Age(base.Electorate)) > m.silenceLimit(silent)+rankDelay
-	}
-	for _, successor := range successors {
-		if m.replace(ctx, base, silent, successor.Addr, changeTimeout, stillSilent) == nil {
-			return
+	for _, voter := range silent {
+		if m.answersOthers(voter.Addr) && !mutants.On("electorate/asks-no-others") {
+			continue
+		}
+		stillSilent := func() bool { return m.isSilent(voter, rankDelay) }
+		for _, successor := range m.successors(base.Electorate, voter.Addr) {
+			if m.replace(ctx, base, voter.Addr, successor.Addr, changeTimeout, stillSilent) == nil {
+				return
+			}
 		}
 	}
 }
--- a/internal/control/electorate/manager.go
+++ b/internal/control/electorate/manager.go
@@ -39,14 +39,11 @@
 
 // Manager performs this node's part in the changes of the electorate. It is safe for concurrent use.
 type Manager struct {
-	options  Options
-	self     string
-	log      log.Logger
-	changing atomic.Bool // a replacement or an enlargement is in progress on this node
-
-	mu            sync.Mutex // guards the fields below
-	lastSeenSince uint64     // epoch since which the last known electorate is in force
-	firstSeenAt   time.Time  // time at which this process first saw that electorate
+	options   Options
+	self      string
+	log       log.Logger
+	changing  atomic.Bool // a replacement or an enlargement is in progress on this node
+	firstSeen firstSeen
 }
 
 // New makes a manager.
@@ -115,17 +112,10 @@
 	level.Info(m.log).Log("msg", "vote recovered", "epoch", base.Epoch)
 }
 
-// Age returns the time since this process first saw the electorate e. The electorate known at the first call counts
-// from the start of the process.
+// Age returns the time since this process first saw the electorate e, which is in force. The electorate known at the
+// first call counts from the start of the process.
 func (m *Manager) Age(e consensus.Electorate) time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.firstSeenAt.IsZero() {
-		m.lastSeenSince, m.firstSeenAt = e.Since, m.options.Started
-	} else if m.lastSeenSince != e.Since {
-		m.lastSeenSince, m.firstSeenAt = e.Since, time.Now()
-	}
-	return time.Since(m.firstSeenAt)
+	return time.Since(m.firstSeen.observe(e, m.options.Started))
 }
 
 // WantedVoters returns the number of voters that is needed to tolerate the configured number of lost machines.
--- a/internal/control/electorate/silence.go
+++ b/internal/control/electorate/silence.go
@@ -17,6 +17,12 @@
 const (
 	// silenceFraction is how long a voter may be silent before it is replaced. It outlasts a restart of the process.
 	silenceFraction = 0.6
+	// overlapReserve is the part of the bound, in seconds, that is left after the silence where several machines may be
+	// lost at once: while one voter is replaced, the leaseholder of a shard may be lost. Another one is elected within
+	// 1.7 s (package shard), and only then do the voters of that shard change.
+	overlapReserve = 3.1
+	// minSilenceFraction bounds the reduction by overlapReserve.
+	minSilenceFraction = 0.25
 	// leftFraction is the same for a voter that has announced its shutdown and has not handed its vote over.
 	leftFraction = 0.1
 	// rankFraction is the longest additional wait of the last of the reachable voters. It separates their attempts, so
@@ -51,17 +57,31 @@
 	if m.isLeaving(voter) {
 		return m.catchUpFraction(leftFraction)
 	}
-	return m.catchUpFraction(silenceFraction)
+	return m.maxSilence()
 }
 
-// firstSilent returns the first voter that has been silent for too long, or "" if there is none.
-func (m *Manager) firstSilent(e consensus.Electorate, age, rankDelay time.Duration) string {
-	for _, v := range e.Voters {
-		if m.silentFor(v.Addr, age) > m.silenceLimit(v.Addr)+rankDelay {
-			return v.Addr
+// maxSilence returns how long a voter that has announced no shutdown may be silent before it is replaced.
+func (m *Manager) maxSilence() time.Duration {
+	silence := m.catchUpFraction(silenceFraction)
+	if m.options.Settings.Tolerance.Machines > 1 {
+		reserve := time.Duration(overlapReserve * float64(time.Second))
+		silence = min(silence, max(m.catchUpFraction(1)-reserve, m.catchUpFraction(minSilenceFraction)))
+	}
+	return silence
+}
+
+// silentVoters returns the voters that have been silent for too long.
+func (m *Manager) silentVoters(e consensus.Electorate, rankDelay time.Duration) (silent []consensus.Voter) {
+	for _, voter := range e.Voters {
+		if m.isSilent(voter, rankDelay) {
+			silent = append(silent, voter)
 		}
 	}
-	return ""
+	return silent
+}
+
+func (m *Manager) isSilent(voter consensus.Voter, rankDelay time.Duration) bool {
+	return m.silentFor(voter) > m.silenceLimit(voter.Addr)+rankDelay
 }
 
 // RecordPong records whether a node that has answered a ping shuts down. A node without a pong does not.
@@ -77,16 +97,17 @@
 	return peer != nil && peer.Leaving()
 }
 
-// silentFor returns the time since a voter's last answer, limited to the time since this process first saw the
-// electorate, because nodes that are no voters are not pinged.
-func (m *Manager) silentFor(addr string, electorateAge time.Duration) time.Duration {
-	if addr == m.self {
+// silentFor returns the time since a voter's last answer, limited to the time since this process first saw it as a
+// voter, because nodes that are no voters are not pinged. A change of the other voters does not shorten it.
+func (m *Manager) silentFor(voter consensus.Voter) time.Duration {
+	if voter.Addr == m.self {
 		return 0
 	}
-	if age := m.options.Lease.Age(addr); age >= 0 {
-		return min(age, electorateAge)
+	known := m.firstSeen.voterAge(voter)
+	if age := m.options.Lease.Age(voter.Addr); age >= 0 {
+		return min(age, known)
 	}
-	return electorateAge
+	return known
 }
 
 // answersOthers reports whether a voter that does not answer this node has lately answered another reachable voter.
--- a/internal/control/losses_in_turn_test.go
+++ b/internal/control/losses_in_turn_test.go
@@ -57,7 +57,12 @@
 }
 
 func newLossesInTurn(t *testing.T, bounds settings.Bounds, coordination bool) *lossesInTurn {
+	return newLossesInTurnOf(t, bounds, coordination, 1)
+}
+
+func newLossesInTurnOf(t *testing.T, bounds settings.Bounds, coordination bool, machineLosses int) *lossesInTurn {
 	c := &lossesInTurn{testCluster: newTestCluster(t, nil), addresses: 3}
+	c.machineLosses = machineLosses
 	c.bounds = bounds
 	c.gracePeriod = shutdownGracePeriod
 	c.clauses = map[string]bool{coordinationClause: coordination}
--- a/internal/control/node_test.go
+++ b/internal/control/node_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -45,6 +46,8 @@
 	clauses map[string]bool // clauses in force (settings.Settings.Clauses)
 	bounds  settings.Bounds // bounds of the nodes that are started
 
+	machineLosses int // machine losses at one time that the nodes which are started tolerate; 0 means one
+
 	gracePeriod time.Duration // grace period of the nodes that are started; with 0, a stopped node ends at once
 }
 
@@ -208,7 +211,7 @@
 			HeartbeatInterval: 1.5,
 			Bootstrap:         bootstrap,
 			Clauses:           c.clauses,
-			Tolerance:         settings.Tolerance{Machines: 1},
+			Tolerance:         settings.Tolerance{Machines: cmp.Or(c.machineLosses, 1)},
 			Bounds:            c.bounds,
 		},
 		Log: logtest.Discard(), FS: n.stallingDisk, Incarnation: c.incarnations, Control: n.control,
--- a/internal/control/shards/host.go
+++ b/internal/control/shards/host.go
@@ -66,7 +66,8 @@
 }
 
 // tick reports the time to the replica. The leaseholder also changes the voters towards the target, deletes
-// unneeded records, and transfers the lease if another voter is preferred.
+// unneeded records, and transfers the lease if another voter is preferred. It transfers none while the voters are to
+// change: a transfer to a voter that has just failed would delay the change.
 func (h *host) tick(round int, target []consensus.Voter) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -76,7 +77,8 @@
 	if h.tables != nil && round%upkeepIntervalTicks == 0 {
 		h.upkeep(now)
 	}
-	if round%rebalanceIntervalTicks == 0 && now > h.tablesLoadedAt+minTermAgeSeconds {
+	mayRebalance := now > h.tablesLoadedAt+minTermAgeSeconds && h.replica.HasVoters(target)
+	if round%rebalanceIntervalTicks == 0 && mayRebalance {
 		if preferred, ok := h.replica.Preferred(); ok {
 			h.replica.TransferTo(preferred.Addr, now)
 		}
