Soak: replacements whose successor starts first

TestSoakLossesInTurn also plays planned replacements (the successor starts up to a second before the SIGTERM), as replace_core planned does. 3 seeds of 40 s passed.

--- a/internal/emulator/coordinationsoak/losses_in_turn.go
+++ b/internal/emulator/coordinationsoak/losses_in_turn.go
@@ -15,31 +15,54 @@
 	changeTime    = 5 * time.Second        // time in which each change of the configuration must be acknowledged
 	freezeMax     = 5 * time.Second        // longest freeze
 	successorGap  = 500 * time.Millisecond // longest time from the end of a node to the start of its successor
+	plannedLead   = time.Second            // longest time from the start of a successor to the SIGTERM of the node
 )
 
+// lossKind is a way in which one node is lost.
+type lossKind int
+
+const (
+	replacement        lossKind = iota // it is killed for good, and an empty node starts at another address
+	orderlyReplacement                 // the same with SIGTERM
+	plannedReplacement                 // the empty node starts first
+	diskLoss                           // it is killed, and starts again with an empty disk
+	crash                              // it is killed, and starts again
+	freeze
+	lossKinds
+)
+
+func (k lossKind) String() string {
+	return [lossKinds]string{
+		"replacement", "orderly replacement", "planned replacement", "disk loss", "crash", "freeze",
+	}[k]
+}
+
 // injectLossesInTurn loses one node at a time, each as soon as the operators count on the previous one again or on its
 // successor, until the fault phase ends. After each loss every node must accept a change of the configuration.
 func (s *soak) injectLossesInTurn() {
 	s.changeConfiguration("the start")
 	for number := 1; s.running(); number++ {
 		n := s.anyNode()
-		kind := s.random(5)
-		description := fmt.Sprintf("loss %d, %s of %s", number,
-			[]string{"replacement", "orderly replacement", "disk loss", "crash", "freeze"}[kind], n.ip)
+		kind := lossKind(s.random(int(lossKinds)))
+		description := fmt.Sprintf("loss %d, %v of %s", number, kind, n.ip)
 		switch kind {
-		case 0:
-			s.replace(n, n.kill)
-		case 1:
-			s.replace(n, func() {
-				if !n.terminate() {
-					s.report(n.ip + " did not end within the grace time after SIGTERM")
-				}
-			})
-		case 2:
+		case replacement:
+			s.remove(n, n.kill)
+			s.sleep(time.Duration(s.random(int(successorGap))))
+			s.startSuccessor()
+		case orderlyReplacement:
+			s.remove(n, func() { s.terminateInTime(n) })
+			s.sleep(time.Duration(s.random(int(successorGap))))
+			s.startSuccessor()
+		case plannedReplacement:
+			s.startSuccessor()
+			s.sleep(time.Duration(s.random(int(plannedLead))))
+			s.remove(n, func() { s.terminateInTime(n) })
+		case diskLoss:
 			s.crash(n, func() { s.emptyDisk(n) })
-		case 3:
+		case crash:
 			s.crash(n, nil)
-		case 4:
+		case freeze:
 			s.freeze(n, time.Duration(s.random(int(freezeMax))))
 		}
 		time.Sleep(catchUpTime + catchUpMargin)
@@ -47,17 +70,29 @@
 	}
 }
 
-// replace ends a node for good, and starts an empty one at another address.
-func (s *soak) replace(n *node, end func()) {
+// terminateInTime ends a node with SIGTERM, and reports it if it does not end within the grace time.
+func (s *soak) terminateInTime(n *node) {
+	if !n.terminate() {
+		s.report(n.ip + " did not end within the grace time after SIGTERM")
+	}
+}
+
+// remove ends a node for good.
+func (s *soak) remove(n *node, end func()) {
 	n.lifecycle.Lock()
 	end()
 	n.lifecycle.Unlock()
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.nodes = slices.DeleteFunc(slices.Clone(s.nodes), func(o *node) bool { return o == n })
 	s.ended = append(s.ended, n)
+}
+
+// startSuccessor starts an empty node at an address that no node has had.
+func (s *soak) startSuccessor() {
+	s.mu.Lock()
 	address := len(s.nodes) + len(s.ended) + 1
 	s.mu.Unlock()
-	s.sleep(time.Duration(s.random(int(successorGap))))
 	successor := s.newNode(address)
 	if err := s.prepare(successor, s.controlAddrs(), false); err != nil {
 		s.report(err.Error())
@@ -65,8 +100,8 @@
 	}
 	s.start(successor)
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.nodes = append(slices.Clone(s.nodes), successor)
-	s.mu.Unlock()
 }
 
 // controlAddrs returns the control addresses of the first three nodes.
