Count recent ingresses only for the first 5 s of a process

Cause: the recent number of ingresses was retained like a present one, for 25 s in all. Found by reading. Change: the number is compared at each update of the first 5 s, and not retained. Test: TestNewIngressAssumesRecentMembers at 5 s; with the former retention the number was still 11, want 4.

--- a/internal/decision/quota_power_loss_test.go
+++ b/internal/decision/quota_power_loss_test.go
@@ -94,7 +94,7 @@
 
 // Guards against a part of a quota that is granted twice when many gateways lose power in a rush. The new
 // processes take even shares while the others still admit the complete quota, so together they must stay
-// within its tolerance. They assume the number of gateways before the loss (proxy.membersToAssume).
+// within its tolerance. They assume the number of gateways before the loss (proxy.ingressCount).
 func TestQuotaHoldsAfterPowerLoss(t *testing.T) {
 	for _, rate := range []float64{60, 119} {
 		plan := Plan{Rate: rate, Burst: rate, ValueWeight: 1}
--- a/internal/proxy/control_feed.go
+++ b/internal/proxy/control_feed.go
@@ -129,8 +129,8 @@
 		return
 	}
 	now := time.Now()
-	cf.memberCount.observe(now, membersToAssume(now.Sub(cf.startedAt), members, recent))
-	ingresses := int64(cf.memberCount.value())
+	cf.memberCount.observe(now, members)
+	ingresses := int64(cf.memberCount.value(now.Sub(cf.startedAt), recent))
 	changed := cf.ingresses.Swap(ingresses) != ingresses
 	if changed || members != cf.members {
 		cf.members = members
--- a/internal/proxy/ingress_count.go
+++ b/internal/proxy/ingress_count.go
@@ -14,16 +14,6 @@
 	defaultIngressCount = 24
 )
 
-// membersToAssume returns the number of ingresses to assume at the given age of this process. While the process is new,
-// the recent number of members counts too: ingresses that start together with this one are no members yet, and each of
-// them would take the even share of a quota among the few that stayed, which have the complete quota.
-func membersToAssume(age time.Duration, members, recent int) int {
-	if age < newProcessSpan {
-		return max(members, recent)
-	}
-	return members
-}
-
 // ingressCount determines the number of ingresses through which a tenant's requests may arrive. It is the highest
 // number reported. Once that number has not been reported for memberCountRetention, the next report replaces it. The
 // zero value has no report.
@@ -40,10 +30,15 @@
 	}
 }
 
-// value returns the number of ingresses to assume.
-func (ic *ingressCount) value() int {
-	if ic.highest > 0 {
-		return ic.highest
+// value returns the number of ingresses to assume at the given age of this process. While the process is new, the recent
+// number of members counts too, but is not retained: ingresses that start together with this one are no members yet, and
+// each of them would take the even share of a quota among the few that stayed, which have the complete quota.
+func (ic *ingressCount) value(age time.Duration, recent int) int {
+	if ic.highest == 0 {
+		return defaultIngressCount
+	}
+	if age < newProcessSpan {
+		return max(ic.highest, recent)
 	}
-	return defaultIngressCount
+	return ic.highest
 }
--- a/internal/proxy/ingress_count_test.go
+++ b/internal/proxy/ingress_count_test.go
@@ -38,7 +38,7 @@
 				if r.members > 0 {
 					count.observe(start.Add(r.at), r.members)
 				}
-				if got := count.value(); got != r.want {
+				if got := count.value(r.at, 0); got != r.want {
 					t.Errorf("after %s: got %d, want %d", r.at, got, r.want)
 				}
 			}
@@ -47,7 +47,8 @@
 }
 
 // Guards against a part of a quota that is granted twice: many ingresses that lost power together return together, and
-// each of them assumed that only those which had stayed share the quota with it.
+// each of them assumed that only those which had stayed share the quota with it. Later the recent number must not count
+// any more, because an ingress that assumes too many others admits less than its part of the quota.
 func TestNewIngressAssumesRecentMembers(t *testing.T) {
 	const stayed, all = 4, 11
 	for _, c := range []struct {
@@ -61,7 +62,14 @@
 		{0, all, stayed, all},
 		{0, stayed, 0, stayed}, // from an agent of an earlier version
 	} {
-		if got := membersToAssume(c.age, c.members, c.recent); got != c.want {
+		var count ingressCount
+		start := time.Now()
+		for at := time.Duration(0); at < c.age; at += time.Second {
+			count.observe(start.Add(at), c.members)
+			count.value(at, c.recent)
+		}
+		count.observe(start.Add(c.age), c.members)
+		if got := count.value(c.age, c.recent); got != c.want {
 			t.Errorf("at %v with %d members, %d recently: got %d, want %d", c.age, c.members, c.recent, got, c.want)
 		}
 	}
