--- a/internal/cluster/quota/counter_table.go
+++ b/internal/cluster/quota/counter_table.go
@@ -46,9 +46,9 @@
 // NewCounterTable returns a table that answers for no counter yet.
 func NewCounterTable() *CounterTable { return &CounterTable{counters: map[string]*counter{}} }
 
-// SetMembers sets the control nodes over which the counters are distributed from now on. live are the live nodes,
-// including this one, whose name is self, and quorum says whether they are a majority. It may be called at any rate; a
-// call that changes nothing has no effect.
+// SetMembers sets the control nodes over which the counters are distributed from now on: the names of the live nodes,
+// which include self, the name of this node. Quorum reports whether they are a majority. SetMembers may be called at any
+// rate; a call that changes nothing has no effect.
 func (ct *CounterTable) SetMembers(now float64, live []string, self string, quorum bool) {
 	next := view{from: now, self: self}
 	if quorum && slices.Contains(live, self) {
--- a/internal/control/electorate/silence.go
+++ b/internal/control/electorate/silence.go
@@ -97,8 +97,8 @@
 	return peer != nil && peer.Leaving()
 }
 
-// silentFor returns the time since a voter's last answer, limited to the time since this process first saw it as a
-// voter, because nodes that are no voters are not pinged. A change of the other voters does not shorten it.
+// silentFor returns the time since a voter's last answer, but at most the time since this process first saw it as a
+// voter, because only voters are pinged. A change of the other voters does not shorten it.
 func (m *Manager) silentFor(voter consensus.Voter) time.Duration {
 	if voter.Addr == m.self {
 		return 0
--- a/internal/control/losses_at_once_test.go
+++ b/internal/control/losses_at_once_test.go
@@ -70,7 +70,7 @@
 	c.lost = append(c.lost, lostNode{voter, back.Add(c.catchUp)})
 }
 
-// notCounted reports whether a node is one that the operators do not count on yet, because it was started lately.
+// notCounted reports whether the operators do not count on a node yet, because it was started less than catchUp ago.
 func (c *twoLossesAtOnce) notCounted(addr string) bool {
 	return time.Since(c.nodes[addr].started) < c.catchUp
 }
--- a/internal/control/losses_in_turn_test.go
+++ b/internal/control/losses_in_turn_test.go
@@ -20,7 +20,7 @@
 type lossKind int
 
 const (
-	replaced  lossKind = iota // it ends for good, and an empty node starts at another address after a gap
+	replaced  lossKind = iota // it is removed, and after a gap an empty node starts at another address
 	retired                   // the same, with SIGTERM
 	relieved                  // it gets SIGTERM, and after a gap, maybe before it ends, its successor starts
 	planned                   // an empty node starts at another address, and then the node ends with SIGTERM
--- a/internal/control/shards/forwarding_explore_test.go
+++ b/internal/control/shards/forwarding_explore_test.go
@@ -34,8 +34,8 @@
 	return [forwardEvents]string{"call", "restart", "reconnect", "answer", "send", "receive"}[e]
 }
 
-// forwardingModel is a leaseholder and the processes of one node that forwards calls to it. It is the Peers of the
-// leaseholder. Each event is applied when the test says so.
+// forwardingModel consists of a leaseholder, the successive processes of one node that forwards calls to it, and the
+// connection between them. It implements the Peers of the leaseholder.
 type forwardingModel struct {
 	leaseholder *Service
 	queue       *outbox // replies of the leaseholder to the caller
--- a/internal/decision/pair_counters.go
+++ b/internal/decision/pair_counters.go
@@ -65,8 +65,8 @@
 
 // handlePartialTotal processes the reply of a counter owner that may not have all reports yet, because the
 // counters have just moved to it or it has restarted. An accepted report keeps the slice, because no other
-// gateway gets it. A partial total may shrink the slice and never enlarges it. It must be able to shrink it:
-// gateways that have just started have even slices beside those of the others, which may sum up to the quota.
+// gateway gets it. A partial total may shrink the slice, because the even slices of gateways that have just
+// started come on top of the slices of the others. It never enlarges the slice.
 func (g *Gateway) handlePartialTotal(c *customer, e CounterReply) {
 	cycle := &c.cycle
 	if !g.settings.PairCounters || e.Outcome != Failed || e.Reporters < 1 {
--- a/internal/emulator/coordinationsoak/losses_in_turn.go
+++ b/internal/emulator/coordinationsoak/losses_in_turn.go
@@ -22,7 +22,7 @@
 type lossKind int
 
 const (
-	replacement        lossKind = iota // it is killed for good, and an empty node starts at another address
+	replacement        lossKind = iota // it is killed and removed, and an empty node starts at another address
 	orderlyReplacement                 // the same with SIGTERM
 	plannedReplacement                 // the empty node starts first
 	diskLoss                           // it is killed, and starts again with an empty disk
@@ -77,7 +77,7 @@
 	}
 }
 
-// remove ends a node for good.
+// remove ends a node, and takes it out of the list of nodes.
 func (s *soak) remove(n *node, end func()) {
 	n.lifecycle.Lock()
 	end()
