--- a/internal/cluster/quota/counter_table.go
+++ b/internal/cluster/quota/counter_table.go
@@ -47,8 +47,8 @@
 func NewCounterTable() *CounterTable { return &CounterTable{counters: map[string]*counter{}} }
 
 // SetMembers sets the control nodes over which the counters are distributed from now on: the names of the live nodes,
-// which include self, the name of this node. Quorum reports whether they are a majority. SetMembers may be called at any
-// rate; a call that changes nothing has no effect.
+// which include self, the name of this node. Quorum reports whether they are a majority. SetMembers may be called at
+// any rate; a call that changes nothing has no effect.
 func (ct *CounterTable) SetMembers(now float64, live []string, self string, quorum bool) {
 	next := view{from: now, self: self}
 	if quorum && slices.Contains(live, self) {
@@ -91,13 +91,13 @@
 // Add processes a report or a read-only query, at a time in seconds.
 //
 // An owner accepts reports as soon as it owns the counter, so that it has all of them once its ownership is confirmed;
-// until then it answers without OK, by a partial total. Each reporter counts with its report for the cycle or, if it has not reported yet,
-// with its last report if that is younger than LateReportRetention. PerRequest reports count for their own cycle alone.
-// The serials of a reporter must rise, and far fewer than serialWindow of them may be in flight at once; a restarted
-// process reports under another name or continues above its last serial. After its last use, a counter is kept for the
-// longest Retention that a report requested, at least for LateReportRetention and at most for MaxRetention. Cycles
-// must not be longer than HandoverFence, because otherwise a new owner would answer before all reporters have reported
-// to it.
+// until then it answers without OK, by a partial total. Each reporter counts with its report for the cycle or, if it
+// has not reported yet, with its last report if that is younger than LateReportRetention. PerRequest reports count for
+// their own cycle alone. The serials of a reporter must rise, and far fewer than serialWindow of them may be in flight
+// at once; a restarted process reports under another name or continues above its last serial. After its last use, a
+// counter is kept for the longest Retention that a report requested, at least for LateReportRetention and at most for
+// MaxRetention. Cycles must not be longer than HandoverFence, because otherwise a new owner would answer before all
+// reporters have reported to it.
 func (ct *CounterTable) Add(now float64, report *Report) Total {
 	ct.expire(now)
 	owned, confirmed := ct.owns(now, report.Name)
--- a/internal/cluster/quota/messages.go
+++ b/internal/cluster/quota/messages.go
@@ -31,8 +31,8 @@
 // Total is the owner's answer to a Report.
 //
 // Without OK, the total is partial if Reporters is above 0: this node owns the counter and has accepted the report, but
-// may not have the reports of all other reporters yet. Owners of an earlier version leave Sum at 0 then. If Reporters is
-// 0, this node does not own the counter, has rejected an invalid report, or has no report for a query yet.
+// may not have the reports of all other reporters yet. Owners of an earlier version leave Sum at 0 then. If Reporters
+// is 0, this node does not own the counter, has rejected an invalid report, or has no report for a query yet.
 type Total struct {
 	OK        bool    `cbor:"1,keyasint,omitempty"`
 	Sum       float64 `cbor:"2,keyasint,omitempty"` // over the reporters, in the unit of Report.Amount
--- a/internal/control/ingresslease/table.go
+++ b/internal/control/ingresslease/table.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// countReady returns the number of ready ingresses whose leases are valid, removes expired leases, and records the number
-// of all valid leases.
+// countReady returns the number of ready ingresses whose leases are valid, removes expired leases, and records the
+// number of all valid leases.
 func (t *Table) countReady(now time.Time) (ready int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/control/shards/forwarding_explore_test.go
+++ b/internal/control/shards/forwarding_explore_test.go
@@ -13,7 +13,7 @@
 	"mulleinrouter/internal/logging/logtest"
 )
 
-var forwardDepth = flag.Int("forward-depth", 8, "number of events that TestEveryOrderOfForwardedCalls runs in every order")
+var forwardDepth = flag.Int("forward-depth", 8, "events that TestEveryOrderOfForwardedCalls runs in every order")
 
 const callerAddr = "10.0.0.1:81"
 
--- a/internal/proxy/ingress_count.go
+++ b/internal/proxy/ingress_count.go
@@ -30,9 +30,9 @@
 	}
 }
 
-// value returns the number of ingresses to assume at the given age of this process. While the process is new, the recent
-// number of members counts too, but is not retained: ingresses that start together with this one are no members yet, and
-// each of them would take the even share of a quota among the few that stayed, which have the complete quota.
+// value returns the number of ingresses to assume at the given age of this process. While the process is new, the
+// recent number of members counts too, but is not retained: ingresses that start together with this one are no members
+// yet, and each of them would take the even share of a quota among the few that stayed, which have the complete quota.
 func (ic *ingressCount) value(age time.Duration, recent int) int {
 	if ic.highest == 0 {
 		return defaultIngressCount
