--- a/internal/control/electorate_test.go
+++ b/internal/control/electorate_test.go
@@ -45,7 +45,9 @@
 
 // shutDown shuts a node down as SIGTERM does, and removes it from the cluster. It returns the node's disk.
 func (c *testCluster) shutDown(addr string) *vfs.MemFS {
+	c.mu.Lock()
 	m := c.nodes[addr]
+	c.mu.Unlock()
 	m.stop()
 	c.NoErr(<-m.ended)
 	c.mu.Lock()
--- a/internal/control/race_test.go
+++ b/internal/control/race_test.go
@@ -8,4 +8,5 @@
 	starvationSeconds = 1  // simulated seconds of each run of TestProposersDoNotStarve
 	timingRuns        = 2  // runs per measured time
 	secondLossSeeds   = 12 // seeds of TestSecondLossDuringReplacement
+	lossOrders        = 5  // seeds of TestLossesInTurn and of TestTwoLossesAtOnce for each bounds
 )
