--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -23,6 +23,7 @@
 
 func run() int {
 	cases := map[string]func(*cluster) error{
+		"wiped-while-replacing": wipedWhileReplacing,
 		"wiped-after-first-ack": wipedAfterFirstAck,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
