--- a/review/standin-3/cluster.go
+++ b/review/standin-3/cluster.go
@@ -208,16 +208,16 @@
 		return err
 	}
 	defer log.Close()
-	n.command = exec.Command("target/control", "serve", "--metrics", "9466/metrics")
-	n.command.Env = []string{
+	command := exec.Command("target/control", "serve", "--metrics", "9466/metrics")
+	command.Env = []string{
 		"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"),
 		"MULLEINROUTER_CONFIG=" + n.settings,
 	}
-	n.command.Stdout, n.command.Stderr = log, log
-	if err := n.command.Start(); err != nil {
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
 		return err
 	}
-	n.ended = make(chan struct{})
+	n.command, n.ended = command, make(chan struct{})
 	go func(command *exec.Cmd, ended chan struct{}) {
 		_ = command.Wait()
 		close(ended)
