--- a/review/standin-3/cluster.go
+++ b/review/standin-3/cluster.go
@@ -38,12 +38,12 @@
 
 // cluster is a set of control nodes and the record of what was done with them.
 type cluster struct {
-	folder  string // settings, logs and disks
-	record  *os.File
-	began   time.Time
-	trouble bool // whether the case's disruptions happen
-	client  *http.Client
-	nodes   []*node
+	folder    string // settings, logs and disks
+	record    *os.File
+	began     time.Time
+	disrupted bool // whether the case's disruptions happen
+	client    *http.Client
+	nodes     []*node
 
 	// Terms of the deployment, set before addNodes.
 	tolerance int    // machines that may be lost at once
@@ -83,7 +83,7 @@
 		began:   time.Now(),
 
 		tolerance: 1,
-		trouble:   os.Getenv("TROUBLE") != "0",
+		disrupted: os.Getenv("TROUBLE") != "0",
 		client:    &http.Client{Transport: transport, Timeout: callTimeout},
 	}, nil
 }
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -11,7 +11,7 @@
 
 // Exit codes of a case.
 const (
-	exitHeld      = 0
+	exitKept      = 0
 	exitBroken    = 1
 	exitCannotRun = 2
 )
@@ -40,7 +40,7 @@
 	switch {
 	case err == nil:
 		c.note("result: the rule held")
-		return exitHeld
+		return exitKept
 	case errors.Is(err, errBroken):
 		c.note("result: the rule was broken")
 		return exitBroken
--- a/review/standin-3/wiped_after_first_ack.go
+++ b/review/standin-3/wiped_after_first_ack.go
@@ -40,7 +40,7 @@
 		}
 	}
 	c.note("acknowledged by %s: PATCH /config %s", acknowledging.name, firstConfig)
-	if c.trouble {
+	if c.disrupted {
 		if err := c.takeDisks(acknowledging, other); err != nil {
 			return err
 		}
--- a/review/standin-3/wiped_while_replacing.go
+++ b/review/standin-3/wiped_while_replacing.go
@@ -51,7 +51,7 @@
 		return err
 	}
 	time.Sleep(catchUp)
-	if c.trouble {
+	if c.disrupted {
 		if err := c.strike(); err != nil {
 			return err
 		}
@@ -88,24 +88,31 @@
 	killedAt := time.Now()
 	killed.kill()
 	freeze := os.Getenv("FREEZE") != "0"
-	frozen := false
 	var frozenAt time.Time
-	for {
+	for frozenAt.IsZero() {
 		if time.Since(killedAt) > 3*catchUp {
 			return errNoWindow
 		}
-		if freeze && !frozen && slices.Contains(c.voters(watched), successor.control) {
-			successor.signal(syscall.SIGSTOP)
-			frozen, frozenAt = true, time.Now()
-		}
-		if number, voters := c.shardWithTwoVoters(watched); number >= 0 {
+		number, voters := c.shardWithTwoVoters(watched)
+		replaced := number >= 0
+		if replaced {
 			c.note("shard %d has the voters %v", number, voters)
-			break
 		}
-		time.Sleep(pollInterval)
+		if replaced || freeze && slices.Contains(c.voters(watched), successor.control) {
+			frozenAt = time.Now()
+		} else {
+			time.Sleep(pollInterval)
+		}
 	}
 	if freeze {
+		successor.signal(syscall.SIGSTOP)
 		time.Sleep(afterFreeze)
+		c.noteShards(watched)
+		twoVoters := func(s shard) bool { return len(s.voters()) == 2 }
+		if !slices.ContainsFunc(c.shards(watched), twoVoters) {
+			successor.signal(syscall.SIGCONT)
+			return errNoWindow
+		}
 	}
 	wiped.kill()
 	wipedAt := time.Now()
@@ -121,7 +128,7 @@
 	if err := wiped.start(); err != nil {
 		return err
 	}
-	if frozen {
+	if freeze {
 		time.Sleep(time.Until(frozenAt.Add(frozenFor)))
 		successor.signal(syscall.SIGCONT)
 	}
@@ -151,6 +158,8 @@
 	for _, n := range c.nodes {
 		c.noteShards(n)
 	}
+	status, _ := c.callUntil(readLimit, http.MethodGet, "/config", "", http.StatusOK)
+	c.note("GET /config: %d", status)
 	broken := 0
 	for cell, revision := range revisions {
 		var read struct{ Revision uint64 }
