--- a/review/standin-3/cluster.go
+++ b/review/standin-3/cluster.go
@@ -62,6 +62,7 @@
 	data     string // folder on its disk
 	command  *exec.Cmd
 	ended    chan struct{} // closed when the process has ended
+	removed  bool          // the machine is gone for good, and nobody calls it
 }
 
 // newCluster creates a cluster without nodes, whose record is written to a file.
@@ -273,7 +274,11 @@
 // callUntil repeats a call, at one node after the other, until its status is one of those wanted or the time is over.
 func (c *cluster) callUntil(limit time.Duration, method, path, body string, wanted ...int) (status int, answer string) {
 	for end, i := time.Now().Add(limit), 0; ; i++ {
-		status, answer = c.call(c.nodes[i%len(c.nodes)], method, path, body)
+		n := c.nodes[i%len(c.nodes)]
+		if n.removed {
+			continue
+		}
+		status, answer = c.call(n, method, path, body)
 		for _, w := range wanted {
 			if status == w {
 				return status, answer
