--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -23,6 +23,7 @@
 
 func run() int {
 	cases := map[string]func(*cluster) error{
+		"wiped-during-removal":  wipedDuringRemoval,
 		"wiped-while-replacing": wipedWhileReplacing,
 		"wiped-after-first-ack": wipedAfterFirstAck,
 	}
