--- a/review/standin-3/wiped_while_replacing.go
+++ b/review/standin-3/wiped_while_replacing.go
@@ -2,25 +2,33 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
+	"os"
+	"slices"
 	"strings"
+	"syscall"
 	"time"
 )
 
 // Times of the case.
 const (
-	killedFor = 5 * time.Second // node_kill, default of for_s
-	// wipedAfter is the time from the kill to the loss of the disk. A voter is replaced after 0.6 of catchUpS without an
-	// answer, here 3.6 s, so the shards change their voters at that time.
-	wipedAfter = 3720 * time.Millisecond
-	readLimit  = 5 * time.Second // an answer at the end; the operators repeat a call for 3 s at least
-	groups     = 24
+	killedFor    = 5 * time.Second // node_kill, default of for_s
+	frozenFor    = 4 * time.Second // node_freeze on core
+	afterFreeze  = time.Second     // from the freeze to the loss of the disk
+	readLimit    = 5 * time.Second // an answer at the end; the operators repeat a call for 3 s at least
+	groups       = 24
+	pollInterval = 2 * time.Millisecond
 )
 
-// wipedWhileReplacing kills one of three voters for 5 s, so that the fourth control node takes its vote, and takes
-// another voter's disk away 3.72 s after the kill. One disk is lost, as tolerance allows; that of the killed machine
-// returns with it. Later than recoveryS after all machines are back, what was acknowledged must be read back.
+var errNoWindow = errors.New("no shard was seen with two voters")
+
+// wipedWhileReplacing kills one of three voters for 5 s, so that the fourth control node takes its vote, freezes that
+// node for 4 s as soon as it is a voter of the configuration, and takes another voter's disk away 1 s later. One disk
+// is lost, as tolerance allows; the disk of the killed machine returns with it. Later than recoveryS after all machines
+// are back, what was acknowledged must be read back. With FREEZE=0 nothing is frozen, and the disk is taken away as
+// soon as a shard has two voters.
 func wipedWhileReplacing(c *cluster) error {
 	if err := c.addNodes(4); err != nil {
 		return err
@@ -76,10 +84,36 @@
 
 // strike makes the disruptions. It returns when all machines are back.
 func (c *cluster) strike() error {
-	killed, wiped, watched := c.nodes[0], c.nodes[1], c.nodes[2]
+	killed, wiped, watched, successor := c.nodes[0], c.nodes[1], c.nodes[2], c.nodes[3]
 	killedAt := time.Now()
 	killed.kill()
-	time.Sleep(time.Until(killedAt.Add(wipedAfter)))
+	freeze := os.Getenv("FREEZE") != "0"
+	var frozenAt time.Time
+	for frozenAt.IsZero() {
+		if time.Since(killedAt) > 3*catchUp {
+			return errNoWindow
+		}
+		number, voters := c.shardWithTwoVoters(watched)
+		replaced := number >= 0
+		if replaced {
+			c.note("shard %d has the voters %v", number, voters)
+		}
+		if replaced || freeze && slices.Contains(c.voters(watched), successor.control) {
+			frozenAt = time.Now()
+		} else {
+			time.Sleep(pollInterval)
+		}
+	}
+	if freeze {
+		successor.signal(syscall.SIGSTOP)
+		time.Sleep(afterFreeze)
+		c.noteShards(watched)
+		twoVoters := func(s shard) bool { return len(s.voters()) == 2 }
+		if !slices.ContainsFunc(c.shards(watched), twoVoters) {
+			successor.signal(syscall.SIGCONT)
+			return errNoWindow
+		}
+	}
 	wiped.kill()
 	wipedAt := time.Now()
 	if err := wiped.loseDisk(); err != nil {
@@ -91,7 +125,24 @@
 		return err
 	}
 	time.Sleep(time.Until(wipedAt.Add(wipedFor)))
-	return wiped.start()
+	if err := wiped.start(); err != nil {
+		return err
+	}
+	if freeze {
+		time.Sleep(time.Until(frozenAt.Add(frozenFor)))
+		successor.signal(syscall.SIGCONT)
+	}
+	return nil
+}
+
+// shardWithTwoVoters returns a shard that has two voters according to its leaseholder, or -1.
+func (c *cluster) shardWithTwoVoters(n *node) (number int, voters []string) {
+	for _, s := range c.shards(n) {
+		if voters := s.voters(); s.Lease && len(voters) == 2 {
+			return s.Number, voters
+		}
+	}
+	return -1, nil
 }
 
 // noteShards records the voters of the shards as a node sees them.
